--- /dev/null
+++ b/src/main/java/basaltlever/Balance.java
@@ -0,0 +1,817 @@
+package basaltlever;
+
+import basaltlever.gateway.Allowance;
+import basaltlever.gateway.Drains;
+import basaltlever.gateway.Ending;
+import basaltlever.gateway.Listing;
+import basaltlever.gateway.Outbound;
+import basaltlever.gateway.Replication;
+import basaltlever.gateway.Role;
+import basaltlever.gateway.Standing;
+import basaltlever.gateway.WarmUp;
+import basaltlever.gateway.Workload;
+import basaltlever.gateway.Workload.Needs;
+import basaltlever.gateway.Workload.Repeat;
+import basaltlever.model.Group;
+import basaltlever.model.Group.Phase;
+import basaltlever.model.Node;
+import basaltlever.model.Statement;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Every decision of one router. One instance serves one router and shares nothing with others.
+ *
+ * <p>How to call it: build it with the start values, then hand it each event as it comes, always with the clock of
+ * the batch: listBegins, listed and listEnds (or listFailed), taken, ended, polled, clientLeft, woken. Nodes and
+ * statements are small indices of the caller's choice; a statement's index is free again after its final answer and
+ * its last execution's end. What it decides comes out through {@link Outbound}. After each event the rules below are
+ * gone through from the top until none fires; docs/design.md says where each comes from.
+ */
+public final class Balance {
+    private static final Span SCAN = Span.ofMillis(10);
+    private static final Span SLOWEST_POLL = Span.ofMillis(1_000);
+    private static final Span FASTEST_POLL = Span.ofMillis(100);
+    private static final Span HOLD_POLL = Span.ofMillis(200);
+    private static final Span POLL_TIMEOUT = Span.ofMillis(1_000);
+    private static final Span FIRST_REPORT_AGE = Span.ofMillis(500);
+    private static final Span RIVAL_CLAIM = Span.ofMillis(500);
+    private static final Span LEAST_SILENCE = Span.ofMillis(150);
+    private static final Span TRIAL = Span.ofMillis(500);
+    private static final Span FORGIVEN = Span.ofMillis(5_000);
+    private static final Span RESTARTED = Span.ofMillis(1_000);
+    private static final Span FIRST_BACKOFF = Span.ofMillis(250);
+    private static final double POLL_POINTS = 0.005;
+    private static final double LEARN = 0.1;
+    private static final double COLD_SAFETY = 0.6;
+    private static final int SESSIONS = 20_000;
+
+    private record Rule(String name, BooleanSupplier when, Runnable then) {
+    }
+
+    private final Outbound outbound;
+    private final SplittableRandom chance;
+    private final Standing standing;
+    private final Workload[] workloads;
+    private final Replication replication;
+    private final Drains drains;
+    private final WarmUp warmUp;
+    private final Allowance allowance;
+    private final double topImportance;
+    private final Span cadence;
+
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Group> groups = new ArrayList<>();
+    private Statement[] statements = new Statement[256];
+    private final List<Statement> open = new ArrayList<>();
+    private final ArrayDeque<Statement> unplaced = new ArrayDeque<>();
+    private final ArrayDeque<Group> changed = new ArrayDeque<>();
+    private final double[] typical;
+    private double typicalOfAll;
+    private final LinkedHashMap<Long, Moment> sessions = new LinkedHashMap<>();
+    private Moment forgottenSessions = Moment.LONG_AGO;
+
+    private Moment now;
+    private Moment watchDue;
+    private Span watchBackoff = FIRST_BACKOFF;
+    private Moment scanDue = Moment.NEVER;
+    private Moment pollDue = Moment.NEVER;
+    private Moment wakeAt = Moment.NEVER;
+    private int listing;
+
+    private final Rule[] rules = {
+        new Rule("ask for the list", () -> !now.isBefore(watchDue), this::askForList),
+        new Rule("judge a group that changed", () -> !changed.isEmpty(), () -> judge(changed.poll())),
+        new Rule("place a statement", () -> !unplaced.isEmpty(), () -> place(unplaced.poll())),
+        new Rule("look over what is open", () -> !now.isBefore(scanDue), this::scan),
+        new Rule("poll who is due", () -> !now.isBefore(pollDue), this::pollDue),
+        new Rule("ask to be woken", () -> nextWake().isBefore(wakeAt), this::wake),
+    };
+
+    public Balance(Outbound outbound, SplittableRandom chance, Standing standing, Workload[] workloads,
+                   Replication replication, Drains drains, WarmUp warmUp, Allowance allowance, Moment now) {
+        this.outbound = outbound;
+        this.chance = chance;
+        this.standing = standing;
+        this.workloads = workloads;
+        this.replication = replication;
+        this.drains = drains;
+        this.warmUp = warmUp;
+        this.allowance = allowance;
+        this.now = now;
+        watchDue = drains.askedFor() ? now : Moment.NEVER;
+        typical = new double[workloads.length];
+        double top = 0;
+        Span tightest = SLOWEST_POLL.times(4);
+        for (int i = 0; i < workloads.length; i++) {
+            Workload workload = workloads[i];
+            typical[i] = workload.slo().micros() / 4.0;
+            typicalOfAll += typical[i] / workloads.length;
+            top = Math.max(top, workload.importance());
+            if (workload.needs() == Needs.BOUNDED) {
+                tightest = tightest.shorter(workload.bound());
+            }
+        }
+        topImportance = top;
+        cadence = tightest.times(replication.replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
+            .shorter(SLOWEST_POLL);
+    }
+
+    // ---- What the router hears.
+
+    public void listBegins() {
+        listing++;
+    }
+
+    public void listed(Moment at, int id, Listing state, int group, int zone, double size, Moment startedAt) {
+        now = at;
+        while (nodes.size() <= id) {
+            nodes.add(new Node(nodes.size()));
+        }
+        Node node = nodes.get(id);
+        Group home = group(group);
+        if (node.group != home) {
+            if (node.group != null) {
+                lose(node);
+                node.group.members.remove(node);
+            }
+            node.group = home;
+            home.members.add(node);
+        }
+        node.zone = zone;
+        node.size = size > 0 && size < 1e9 ? size : 1;
+        node.listedIn = listing;
+        node.drainSeen = state == Listing.DRAINING || node.drainSeen && state == Listing.GONE;
+        if (startedAt.isAfter(node.startedAt)) {
+            node.startedAt = startedAt;
+        }
+        relist(node, state);
+    }
+
+    public void listEnds(Moment at, boolean complete, boolean answered) {
+        now = at;
+        if (complete) {
+            for (Node node : nodes) {
+                if (node.listedIn != listing && node.listing != Listing.GONE) {
+                    relist(node, Listing.GONE);
+                }
+            }
+        }
+        if (answered) {
+            watchDue = Moment.NEVER;
+            watchBackoff = FIRST_BACKOFF;
+        }
+        settle();
+    }
+
+    /** The notice does not tell whether the watch still stands, so it is asked for anew in any case. */
+    public void listFailed(Moment at) {
+        now = at;
+        if (drains.askedFor()) {
+            watchDue = now.plus(watchBackoff.times(0.5 + chance.nextDouble()));
+            watchBackoff = watchBackoff.times(2).shorter(drains.mustAskIn().times(0.25));
+        }
+        settle();
+    }
+
+    /** The session is 0 where there is none; committed is the session's last write where statements carry it. */
+    public void taken(Moment at, int id, int workload, int group, long session, Moment clientLeaves,
+                      Moment committed) {
+        now = at;
+        Workload terms = workloads[workload];
+        Moment mustSee = switch (terms.needs()) {
+            case FRESH -> now;
+            case SESSION -> replication.sessionsCarryTokens() ? committed : lastWrite(session);
+            default -> Moment.LONG_AGO;
+        };
+        Statement statement = new Statement(id, workload, terms, group(group), session, now, clientLeaves, mustSee,
+            allowance.executions());
+        if (id >= statements.length) {
+            statements = Arrays.copyOf(statements, 2 * id);
+        }
+        statements[id] = statement;
+        open.add(statement);
+        Group home = statement.group;
+        home.rate = home.rate * Math.exp(-now.since(home.rateAt).micros() / 2e6) + 0.5;
+        home.rateAt = now;
+        if (scanDue == Moment.NEVER) {
+            scanDue = now.plus(SCAN);
+        }
+        unplaced.add(statement);
+        settle();
+    }
+
+    /** False where no such execution is out. */
+    public boolean ended(Moment at, int id, int execution, Ending ending, Role role, Moment position,
+                         boolean answered) {
+        now = at;
+        Statement statement = statements[id];
+        if (statement == null || execution >= statement.executions || !statement.isOut[execution]) {
+            return false;
+        }
+        Node node = statement.nodes[execution];
+        Moment sent = statement.sentAt[execution];
+        statement.isOut[execution] = false;
+        statement.out--;
+        node.out--;
+        learnHealth(node, statement, ending, now.since(sent));
+        learnRole(node, statement, ending, role);
+        learnPosition(node, statement, ending, position);
+        if (!ending.provesNotRun) {
+            statement.mayHaveRun = true;
+            statement.firstMayHaveRun = statement.firstMayHaveRun.earlier(sent);
+        }
+        if (ending == Ending.MISS) {
+            statement.misses++;
+        }
+        if (answered && !statement.finished) {
+            statement.finished = true;
+            cancelAll(statement);
+        }
+        if (!statement.finished && statement.out == 0 && !statement.queued) {
+            unplaced.add(statement);
+        }
+        settle();
+        return true;
+    }
+
+    public void polled(Moment at, int id, Ending ending, Role role, Moment position, double util) {
+        now = at;
+        Node node = nodes.get(id);
+        node.pollOut = false;
+        if (ending == Ending.COMPLETED) {
+            up(node);
+            node.util = util >= 0 && util <= 1 ? util : node.util;
+            forgive(node);
+            boolean sane = position.isAfter(Moment.LONG_AGO) && !position.isAfter(now);
+            if (sane) {
+                node.position = node.position.later(position);
+            }
+            if (role == Role.PRIMARY) {
+                // A primary stands at the present, so the position in its report dates the claim.
+                node.claimed = node.claimed.later(sane ? position : node.pollSent);
+                if (sane) {
+                    Span age = now.since(position).shorter(SLOWEST_POLL);
+                    node.group.reportAge = node.group.reportAge.times(0.9).longer(age);
+                }
+            } else if (role == Role.REPLICA) {
+                // The report may be older than an answer that said primary.
+                node.denied = node.denied.later(node.pollSent.minus(node.group.reportAge));
+            }
+        } else if (ending != Ending.FULL) {
+            pollMissed(node, ending == Ending.NO_CONNECTION || ending == Ending.RESET);
+        }
+        change(node.group);
+        settle();
+    }
+
+    public void clientLeft(Moment at, int id) {
+        now = at;
+        Statement statement = statements[id];
+        if (statement != null && !statement.finished) {
+            statement.finished = true;
+            cancelAll(statement);
+        }
+        settle();
+    }
+
+    public void woken(Moment at) {
+        now = at;
+        if (!now.isBefore(wakeAt)) {
+            wakeAt = Moment.NEVER;
+        }
+        settle();
+    }
+
+    private void settle() {
+        for (int i = 0; i < rules.length;) {
+            if (rules[i].when().getAsBoolean()) {
+                rules[i].then().run();
+                i = 0;
+            } else {
+                i++;
+            }
+        }
+    }
+
+    // ---- The member list.
+
+    private void askForList() {
+        outbound.watch();
+        watchDue = now.plus(drains.mustAskIn().times(0.5));
+    }
+
+    private void relist(Node node, Listing state) {
+        node.listing = state;
+        node.pollDue = now;
+        pollDue = now;
+        if (!listedForUse(node)) {
+            lose(node);
+        }
+        change(node.group);
+    }
+
+    /** Nothing new goes to a node from the moment the list says so; the grace is left to what is on its way. */
+    private boolean listedForUse(Node node) {
+        return node.listing == Listing.READY
+            || node.listing == Listing.GONE && !drains.removalBinds() && !node.drainSeen;
+    }
+
+    private Group group(int number) {
+        for (Group group : groups) {
+            if (group.number == number) {
+                return group;
+            }
+        }
+        Group group = new Group(number, now);
+        group.reportAge = FIRST_REPORT_AGE;
+        groups.add(group);
+        return group;
+    }
+
+    // ---- The phases of a group: who is primary, and the hold.
+
+    private void change(Group group) {
+        if (!group.changed) {
+            group.changed = true;
+            changed.add(group);
+        }
+    }
+
+    /** A sign that the primary is lost: from here on what needs one is held, and every member is polled. */
+    private void lose(Node node) {
+        Group group = node.group;
+        if (group.primary != node) {
+            return;
+        }
+        group.phase = Phase.HOLD;
+        group.holdSince = now;
+        group.lost = node;
+        group.primary = null;
+        for (Node member : group.members) {
+            member.pollDue = now;
+        }
+        pollDue = now;
+        change(group);
+    }
+
+    private void judge(Group group) {
+        if (group.primary != null && group.primary.denied.isAfter(group.primary.claimed)) {
+            lose(group.primary);
+        }
+        group.changed = false;
+        Node claimant = null;
+        for (Node member : group.members) {
+            boolean fresh = member.claimed.isAfter(member.denied)
+                && (member != group.lost || member.claimed.isAfter(group.holdSince));
+            if (fresh && listedForUse(member) && !member.down && !member.silent
+                && (claimant == null || member.claimed.isAfter(claimant.claimed))) {
+                claimant = member;
+            }
+        }
+        if (group.phase == Phase.HOLD && claimant != null
+            || group.primary != null && claimant != null && claimant != group.primary
+                && claimant.claimed.since(group.primary.claimed).isLongerThan(RIVAL_CLAIM)) {
+            group.phase = Phase.STEADY;
+            group.primary = claimant;
+            group.lost = null;
+        }
+        release(group);
+    }
+
+    /** Held statements are tried in the order they came; those without a place are held again in that order. */
+    private void release(Group group) {
+        for (int left = group.held.size(); left > 0; left--) {
+            Statement statement = group.held.poll();
+            statement.queued = false;
+            place(statement);
+        }
+    }
+
+    // ---- Placing a statement.
+
+    private void place(Statement statement) {
+        if (statement.finished) {
+            return;
+        }
+        if (isOverdue(statement) || !mayRunAgain(statement)) {
+            if (statement.out == 0) {
+                giveUp(statement);
+            }
+            return;
+        }
+        Needs needs = statement.terms.needs();
+        Node node = needs == Needs.WRITE || needs == Needs.FRESH ? primaryFor(statement) : readerFor(statement);
+        if (node != null) {
+            execute(statement, node);
+        } else if (statement.out == 0) {
+            statement.queued = true;
+            statement.group.held.add(statement);
+        }
+    }
+
+    private Node primaryFor(Statement statement) {
+        Node primary = statement.group.primary;
+        return primary != null && isUsable(primary, statement) ? primary : null;
+    }
+
+    /** Less busy of two replicas proven new enough; else the most advanced that checks; else the primary. */
+    private Node readerFor(Statement statement) {
+        Moment needed = statement.terms.needs() == Needs.BOUNDED ? now.minus(statement.terms.bound())
+            : statement.mustSee;
+        Group group = statement.group;
+        Node first = null;
+        Node second = null;
+        Node advanced = null;
+        int seen = 0;
+        for (Node member : group.members) {
+            if (member == group.primary || wasTried(statement, member) || !isUsable(member, statement)) {
+                continue;
+            }
+            if (!member.position.isBefore(needed)) {
+                seen++;
+                if (seen == 1) {
+                    first = member;
+                } else if (seen == 2) {
+                    second = member;
+                } else {
+                    int slot = chance.nextInt(seen);
+                    first = slot == 0 ? member : first;
+                    second = slot == 1 ? member : second;
+                }
+            } else if (advanced == null || member.position.isAfter(advanced.position)) {
+                advanced = member;
+            }
+        }
+        if (first != null) {
+            return second == null || busyness(first) <= busyness(second) ? first : second;
+        }
+        if (replication.replicasCheck() && advanced != null && statement.misses < 2) {
+            return advanced;
+        }
+        return primaryFor(statement);
+    }
+
+    private boolean wasTried(Statement statement, Node node) {
+        for (int i = 0; i < statement.executions; i++) {
+            if (statement.nodes[i] == node) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isUsable(Node node, Statement statement) {
+        if (!listedForUse(node) || node.down) {
+            return false;
+        }
+        if (node.silent && (node.out > 0 || now.since(node.agedAt).isShorterThan(TRIAL))) {
+            return false;
+        }
+        return coldAllows(node, typical[statement.workload]);
+    }
+
+    private double busyness(Node node) {
+        double crossing = node.zone != standing.zone() && standing.crossingPrice() > 0 ? 1.3 : 1;
+        return (node.out + 1) * node.slowness * (1 + 2 * node.util * node.util) * (1 + 10 * node.errors)
+            * crossing / (node.size * warmth(node));
+    }
+
+    private void execute(Statement statement, Node node) {
+        Workload terms = statement.terms;
+        Span timeout = Span.NONE;
+        if (terms.lateShare() <= 0 && terms.repeat() == Repeat.IDEMPOTENT) {
+            timeout = statement.takenAt.plus(terms.slo()).since(now);
+        }
+        int execution = statement.executions++;
+        statement.nodes[execution] = node;
+        statement.sentAt[execution] = now;
+        statement.isOut[execution] = true;
+        statement.out++;
+        if (node.out++ == 0) {
+            node.owesSince = now;
+        }
+        noteWork(node, typical[statement.workload]);
+        outbound.execute(statement.id, node.id, timeout);
+    }
+
+    // ---- Further executions and final answers.
+
+    /** How often by importance; whether at all by what an earlier execution may have done. */
+    private boolean mayRunAgain(Statement statement) {
+        int spare = allowance.executions() - 2;
+        double share = statement.terms.importance() / topImportance;
+        if (statement.executions >= Math.min(allowance.executions(), 2 + (int) Math.ceil(spare * share))) {
+            return false;
+        }
+        return switch (statement.terms.repeat()) {
+            case IDEMPOTENT -> statement.out == 0 || allowance.secondCopies();
+            case NON_IDEMPOTENT -> !statement.mayHaveRun && statement.out == 0;
+            case DEDUPLICATED -> statement.terms.within() != Workload.Within.ZONE
+                ? (statement.out == 0 || allowance.secondCopies())
+                    && now.isBefore(mayHaveRunSince(statement).plus(statement.terms.window()))
+                : !statement.mayHaveRun && statement.out == 0;
+        };
+    }
+
+    private Moment mayHaveRunSince(Statement statement) {
+        Moment since = statement.firstMayHaveRun;
+        for (int i = 0; i < statement.executions; i++) {
+            if (statement.isOut[i]) {
+                since = since.earlier(statement.sentAt[i]);
+            }
+        }
+        return since;
+    }
+
+    private boolean isOverdue(Statement statement) {
+        Moment end = statement.clientLeaves.minus(allowance.answerSlack());
+        if (statement.terms.lateShare() <= 0) {
+            end = end.earlier(statement.takenAt.plus(statement.terms.slo()));
+        }
+        return !now.isBefore(end);
+    }
+
+    private void giveUp(Statement statement) {
+        boolean harmless = statement.terms.repeat() == Repeat.IDEMPOTENT
+            || !statement.mayHaveRun && statement.out == 0
+            || statement.terms.repeat() == Repeat.DEDUPLICATED
+                && statement.terms.within() == Workload.Within.ALL;
+        statement.finished = true;
+        cancelAll(statement);
+        if (harmless) {
+            outbound.reject(statement.id, allowance.longestComeBack().times(0.25 + 0.5 * chance.nextDouble()));
+        } else {
+            outbound.abort(statement.id);
+        }
+    }
+
+    private void cancelAll(Statement statement) {
+        for (int i = 0; allowance.cancels() && statement.out > 0 && i < statement.executions; i++) {
+            if (statement.isOut[i]) {
+                outbound.cancel(statement.id, i);
+            }
+        }
+    }
+
+    private void scan() {
+        for (Node node : nodes) {
+            if (node.out > 0 && !node.silent && now.since(node.owesSince).isLongerThan(silenceOf(node))) {
+                node.silent = true;
+                node.agedAt = now;
+                node.pollDue = now;
+                pollDue = now;
+                lose(node);
+            }
+        }
+        for (int i = open.size() - 1; i >= 0; i--) {
+            Statement statement = open.get(i);
+            if (statement.finished) {
+                Statement last = open.remove(open.size() - 1);
+                if (last != statement) {
+                    open.set(i, last);
+                }
+            } else if (statement.queued ? isOverdue(statement) : isStuck(statement)) {
+                unplaced.add(statement);
+            }
+        }
+        for (Group group : groups) {
+            if (!group.held.isEmpty()) {
+                change(group);
+            }
+        }
+        scanDue = open.isEmpty() ? Moment.NEVER : now.plus(SCAN);
+    }
+
+    /** Waiting on nodes that answer nobody: a copy elsewhere may still be in time. */
+    private boolean isStuck(Statement statement) {
+        if (statement.out == 0 || statement.terms.repeat() == Repeat.NON_IDEMPOTENT || !mayRunAgain(statement)) {
+            return false;
+        }
+        for (int i = 0; i < statement.executions; i++) {
+            if (statement.isOut[i] && !statement.nodes[i].silent && !statement.nodes[i].down) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // ---- Health: what executions and polls tell.
+
+    private Span silenceOf(Node node) {
+        return new Span((long) (typicalOfAll * node.slowness * (2 + 4.0 / node.out))).longer(LEAST_SILENCE);
+    }
+
+    private void learnHealth(Node node, Statement statement, Ending ending, Span took) {
+        switch (ending) {
+            case COMPLETED, ERROR, FULL, MISS -> {
+                up(node);
+                node.silent = false;
+                node.owesSince = now;
+                node.errors += LEARN * ((ending == Ending.ERROR ? 1 : 0) - node.errors);
+            }
+            case RESET, NO_CONNECTION -> {
+                goDown(node);
+                lose(node);
+            }
+            case TIMED_OUT -> {
+                node.slowness = Math.min(20, node.slowness * 1.2);
+                node.pollDue = now;
+                pollDue = now;
+            }
+            default -> { }
+        }
+        if (ending == Ending.COMPLETED) {
+            double usual = typical[statement.workload];
+            node.slowness += LEARN * (Math.min(20, took.micros() / usual) - node.slowness);
+            typical[statement.workload] += LEARN / 4 * (took.micros() - usual);
+            typicalOfAll += LEARN / 4 * (took.micros() - typicalOfAll);
+        } else if (ending == Ending.FULL) {
+            node.slowness = Math.min(20, node.slowness * 1.2);
+        }
+        if (node.out == 0) {
+            node.owesSince = Moment.NEVER;
+        }
+    }
+
+    private void learnRole(Node node, Statement statement, Ending ending, Role role) {
+        if (role == Role.PRIMARY) {
+            node.claimed = node.claimed.later(now);
+        } else if (role == Role.REPLICA || ending == Ending.MISS && statement.terms.needs() == Needs.WRITE) {
+            node.denied = now;
+        }
+        if (node.denied.isAfter(node.claimed)) {
+            lose(node);
+        }
+    }
+
+    private void learnPosition(Node node, Statement statement, Ending ending, Moment position) {
+        boolean wrote = ending == Ending.COMPLETED && statement.terms.needs() == Needs.WRITE;
+        if (position.isAfter(Moment.LONG_AGO) && !position.isAfter(now)) {
+            // A commit comes rounded up to its millisecond, which is too new for a position.
+            node.position = node.position.later(wrote ? position.minus(Span.ofMillis(1)) : position);
+        }
+        if (wrote && !replication.sessionsCarryTokens()) {
+            Moment commit = position.isAfter(Moment.LONG_AGO) ? position : now;
+            Moment earlier = sessions.remove(statement.session);
+            sessions.put(statement.session, earlier == null ? commit : commit.later(earlier));
+            if (sessions.size() > SESSIONS) {
+                // A forgotten session's reads must still see its write, so all unknown ones must see as much.
+                Map.Entry<Long, Moment> oldest = sessions.entrySet().iterator().next();
+                forgottenSessions = forgottenSessions.later(oldest.getValue());
+                sessions.remove(oldest.getKey());
+            }
+        }
+    }
+
+    private Moment lastWrite(long session) {
+        Moment commit = sessions.get(session);
+        return commit == null ? forgottenSessions : commit;
+    }
+
+    private void goDown(Node node) {
+        if (!node.down) {
+            node.down = true;
+            node.downSince = now;
+        }
+        node.pollDue = now;
+        pollDue = now;
+    }
+
+    private void up(Node node) {
+        node.pollMisses = 0;
+        if (node.down) {
+            node.down = false;
+            if (now.since(node.downSince).isLongerThan(RESTARTED)) {
+                // The list tells of a restart only seconds later; until then the node would be taken for warm.
+                node.startedAt = node.startedAt.later(now);
+            }
+        }
+    }
+
+    private void forgive(Node node) {
+        if (!node.silent) {
+            double kept = Math.exp(-Math.max(0, now.since(node.agedAt).over(FORGIVEN)));
+            node.slowness = 1 + (node.slowness - 1) * kept;
+            node.errors *= kept;
+            node.agedAt = now;
+        }
+    }
+
+    private void pollMissed(Node node, boolean refused) {
+        node.pollMisses++;
+        node.pollDue = now.plus(FASTEST_POLL);
+        pollDue = pollDue.earlier(node.pollDue);
+        if (refused || node.pollMisses > 1) {
+            goDown(node);
+            lose(node);
+            node.pollDue = now.plus(HOLD_POLL);
+        }
+    }
+
+    // ---- Cold nodes.
+
+    private double warmth(Node node) {
+        Span age = now.since(node.startedAt);
+        return age.isShorterThan(warmUp.warmAfter())
+            ? warmUp.coldFrom() + (1 - warmUp.coldFrom()) * Math.max(0, age.over(warmUp.warmAfter())) : 1;
+    }
+
+    private double workRate(Node node) {
+        return node.recentWork * Math.exp(-now.since(node.recentAt).micros() / 5e6) / 5;
+    }
+
+    private void noteWork(Node node, double work) {
+        node.recentWork = 5 * workRate(node) + work;
+        node.recentAt = now;
+        if (warmth(node) < 1) {
+            node.coldWork = coldLevel(node) + work;
+            node.coldAt = now;
+        }
+    }
+
+    private double coldLevel(Node node) {
+        return Math.max(0, node.coldWork - coldRate(node) / 2 * now.since(node.coldAt).micros() / 1e6);
+    }
+
+    /**
+     * The work a second that this router may add to a cold node. What warm members bear from this router is its
+     * share of what a node can do; every router keeping to its share, however uneven, the sum stays below.
+     */
+    private double coldRate(Node node) {
+        double sum = 0;
+        int warm = 0;
+        for (Node member : node.group.members) {
+            if (member != node && listedForUse(member) && !member.down && warmth(member) >= 1) {
+                sum += workRate(member);
+                warm++;
+            }
+        }
+        double borne = warm == 0 ? 0 : sum / warm;
+        return Math.max(COLD_SAFETY * warmUp.topplesAt() * warmth(node) * borne,
+            typicalOfAll * 1e6 / warmUp.topplesIn().micros() / standing.routers());
+    }
+
+    private boolean coldAllows(Node node, double work) {
+        if (warmth(node) >= 1) {
+            return true;
+        }
+        double burst = coldRate(node) / 2 * warmUp.topplesIn().micros() / 1e6;
+        double level = coldLevel(node);
+        return level <= 0 || level + work <= burst;
+    }
+
+    // ---- Polls and waking.
+
+    private void pollDue() {
+        pollDue = Moment.NEVER;
+        for (Node node : nodes) {
+            if (node.listing == Listing.GONE || !allowance.polls()) {
+                continue;
+            }
+            if (node.pollOut && now.since(node.pollSent).isLongerThan(POLL_TIMEOUT)) {
+                node.pollOut = false;
+                pollMissed(node, false);
+            }
+            if (!node.pollOut && !now.isBefore(node.pollDue)) {
+                node.pollOut = true;
+                node.pollSent = now;
+                node.pollDue = now.plus(pollPeriod(node));
+                outbound.poll(node.id);
+            }
+            pollDue = pollDue.earlier(node.pollOut ? node.pollSent.plus(POLL_TIMEOUT).plus(SCAN) : node.pollDue);
+        }
+    }
+
+    /** Often enough to show replicas inside the tightest bound, where they check reads only at a bearable price. */
+    private Span pollPeriod(Node node) {
+        Group group = node.group;
+        if (group.phase == Phase.HOLD || node.down) {
+            return HOLD_POLL;
+        }
+        if (!replication.replicasCheck() || standing.pollPrice() <= 0) {
+            return cadence;
+        }
+        double rate = group.rate * Math.exp(-now.since(group.rateAt).micros() / 2e6);
+        double perSecond = POLL_POINTS / standing.pollPrice() * rate / Math.max(1, group.members.size());
+        return Span.ofMillis(Math.min(1e6, 1_000 / Math.max(1e-3, perSecond))).longer(cadence)
+            .shorter(SLOWEST_POLL);
+    }
+
+    private Moment nextWake() {
+        return watchDue.earlier(scanDue).earlier(pollDue);
+    }
+
+    private void wake() {
+        wakeAt = nextWake();
+        outbound.wake(wakeAt.since(now));
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/gateway/Allowance.java
@@ -0,0 +1,8 @@
+package basaltlever.gateway;
+
+import basaltlever.time.Span;
+
+/** What a router may do for one statement. */
+public record Allowance(int executions, boolean secondCopies, boolean cancels, boolean polls,
+                        Span longestComeBack, Span answerSlack) {
+}
--- /dev/null
+++ b/src/main/java/basaltlever/gateway/Listing.java
@@ -0,0 +1,4 @@
+package basaltlever.gateway;
+
+/** What the member list says of a node. */
+public enum Listing { READY, DRAINING, GONE }
--- /dev/null
+++ b/src/main/java/basaltlever/gateway/Outbound.java
@@ -0,0 +1,27 @@
+package basaltlever.gateway;
+
+import basaltlever.time.Span;
+
+/** What the decisions may do to the world. Nodes and statements go by the small indices their caller gave them. */
+public interface Outbound {
+    /** Starts an execution; they count 0, 1, 2 for each statement. A span of zero lasts as long as the client. */
+    void execute(int statement, int node, Span timeout);
+
+    void cancel(int statement, int execution);
+
+    /** Final answer: trying again is harmless, and best after the span. */
+    void reject(int statement, Span comeBackAfter);
+
+    /** Final answer: it may or may not have had an effect. */
+    void abort(int statement);
+
+    void poll(int node);
+
+    /** Asks for the member list and its changes from now on. */
+    void watch();
+
+    void wake(Span fromNow);
+
+    /** A line for the report of the day. */
+    void note(String line);
+}
--- /dev/null
+++ b/src/main/java/basaltlever/model/Group.java
@@ -0,0 +1,32 @@
+package basaltlever.model;
+
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One primary and its replicas, and the statements that wait for one of them. */
+public final class Group {
+    /** HOLD: no member is trusted to be primary, and what needs one waits. */
+    public enum Phase { HOLD, STEADY }
+
+    public final int number;
+    public final List<Node> members = new ArrayList<>();
+    public final ArrayDeque<Statement> held = new ArrayDeque<>();
+    public Phase phase = Phase.HOLD;
+    public Moment holdSince;
+    public Node primary;
+    public Node lost;
+    /** How old reports have lately been on arrival, at most. */
+    public Span reportAge = Span.NONE;
+    public double rate;
+    public Moment rateAt;
+    public boolean changed;
+
+    public Group(int number, Moment now) {
+        this.number = number;
+        this.holdSince = now;
+        this.rateAt = now;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/model/Node.java
@@ -0,0 +1,47 @@
+package basaltlever.model;
+
+import basaltlever.gateway.Listing;
+import basaltlever.time.Moment;
+
+/** All that this router holds of one node. */
+public final class Node {
+    public final int id;
+    public Group group;
+    public int zone;
+    public double size = 1;
+    public Listing listing = Listing.GONE;
+    public boolean drainSeen;
+    public int listedIn;
+
+    /** The latest moments at which it is known to have been primary, and not to have been. */
+    public Moment claimed = Moment.LONG_AGO;
+    public Moment denied = Moment.LONG_AGO;
+    /** All commits up to here are in its data: proven, never guessed. */
+    public Moment position = Moment.LONG_AGO;
+
+    public double util;
+    public Moment pollDue = Moment.LONG_AGO;
+    public Moment pollSent = Moment.LONG_AGO;
+    public boolean pollOut;
+    public int pollMisses;
+
+    public int out;
+    /** Since when it owes an answer without having given any. */
+    public Moment owesSince = Moment.NEVER;
+    public boolean silent;
+    public boolean down;
+    public Moment downSince = Moment.NEVER;
+    public double slowness = 1;
+    public double errors;
+    public Moment agedAt = Moment.LONG_AGO;
+
+    public Moment startedAt = Moment.LONG_AGO;
+    public double recentWork;
+    public Moment recentAt = Moment.LONG_AGO;
+    public double coldWork;
+    public Moment coldAt = Moment.LONG_AGO;
+
+    public Node(int id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/model/Statement.java
@@ -0,0 +1,43 @@
+package basaltlever.model;
+
+import basaltlever.gateway.Workload;
+import basaltlever.time.Moment;
+
+/** One statement taken from a client. */
+public final class Statement {
+    public final int id;
+    public final int workload;
+    public final Workload terms;
+    public final Group group;
+    public final long session;
+    public final Moment takenAt;
+    public final Moment clientLeaves;
+    /** What its data must hold at least; a bounded statement's moves with the clock instead. */
+    public final Moment mustSee;
+
+    public final Node[] nodes;
+    public final Moment[] sentAt;
+    public final boolean[] isOut;
+    public int executions;
+    public int out;
+    public int misses;
+    public boolean mayHaveRun;
+    public Moment firstMayHaveRun = Moment.NEVER;
+    public boolean finished;
+    public boolean queued;
+
+    public Statement(int id, int workload, Workload terms, Group group, long session, Moment takenAt,
+                     Moment clientLeaves, Moment mustSee, int mostExecutions) {
+        this.id = id;
+        this.workload = workload;
+        this.terms = terms;
+        this.group = group;
+        this.session = session;
+        this.takenAt = takenAt;
+        this.clientLeaves = clientLeaves;
+        this.mustSee = mustSee;
+        this.nodes = new Node[mostExecutions];
+        this.sentAt = new Moment[mostExecutions];
+        this.isOut = new boolean[mostExecutions];
+    }
+}
