--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -53,6 +53,12 @@
     private static final double LEARN = 0.1;
     private static final double COLD_SAFETY = 0.6;
     private static final int SESSIONS = 20_000;
+    private static final double FIRST_STRAIN = 0.25;
+    private static final double STRAINED = 0.4;
+    private static final double BUSY = 0.9;
+    private static final double MOST_ROOM = 500;
+    private static final double FOR_WRITES = 0.3;
+    private static final double PATIENCE = 0.25;
 
     private record Rule(String name, BooleanSupplier when, Runnable then) {
     }
@@ -76,6 +82,8 @@
     private final ArrayDeque<Group> changed = new ArrayDeque<>();
     private final double[] typical;
     private double typicalOfAll;
+    private double meanSlo;
+    private double usualStrain = FIRST_STRAIN;
     private final LinkedHashMap<Long, Moment> sessions = new LinkedHashMap<>();
     private Moment forgottenSessions = Moment.LONG_AGO;
 
@@ -115,6 +123,7 @@
             Workload workload = workloads[i];
             typical[i] = workload.slo().micros() / 4.0;
             typicalOfAll += typical[i] / workloads.length;
+            meanSlo += workload.slo().micros() / (double) workloads.length;
             top = Math.max(top, workload.importance());
             if (workload.needs() == Needs.BOUNDED) {
                 tightest = tightest.shorter(workload.bound());
@@ -389,13 +398,36 @@
 
     /** Held statements are tried in the order they came; those without a place are held again in that order. */
     private void release(Group group) {
-        for (int left = group.held.size(); left > 0; left--) {
-            Statement statement = group.held.poll();
+        release(group.held);
+        for (ArrayDeque<Statement> reads : group.waiting) {
+            release(reads);
+        }
+    }
+
+    private void release(ArrayDeque<Statement> queue) {
+        for (int left = queue.size(); left > 0; left--) {
+            Statement statement = queue.poll();
             statement.queued = false;
             place(statement);
         }
     }
 
+    /** What only the primary may take keeps its one order; other reads wait by importance, the highest first. */
+    private ArrayDeque<Statement> waitingList(Statement statement) {
+        Group group = statement.group;
+        if (statement.terms.needs() == Needs.WRITE || statement.terms.needs() == Needs.FRESH) {
+            return group.held;
+        }
+        int rank = 0;
+        for (Workload other : workloads) {
+            rank += other.importance() > statement.terms.importance() ? 1 : 0;
+        }
+        while (group.waiting.size() <= rank) {
+            group.waiting.add(new ArrayDeque<>());
+        }
+        return group.waiting.get(rank);
+    }
+
     // ---- Placing a statement.
 
     private void place(Statement statement) {
@@ -414,13 +446,15 @@
             execute(statement, node);
         } else if (statement.out == 0) {
             statement.queued = true;
-            statement.group.held.add(statement);
+            waitingList(statement).add(statement);
         }
     }
 
     private Node primaryFor(Statement statement) {
         Node primary = statement.group.primary;
-        return primary != null && isUsable(primary, statement) ? primary : null;
+        double kept = statement.terms.needs() == Needs.WRITE || statement.terms.needs() == Needs.FRESH ? 0 : FOR_WRITES;
+        return primary != null && isUsable(primary, statement) && primary.out < primary.room * (1 - kept)
+            ? primary : null;
     }
 
     /** Less busy of two replicas proven new enough; else the most advanced that checks; else the primary. */
@@ -431,12 +465,17 @@
         Node first = null;
         Node second = null;
         Node advanced = null;
+        boolean fits = false;
         int seen = 0;
         for (Node member : group.members) {
             if (member == group.primary || wasTried(statement, member) || !isUsable(member, statement)) {
                 continue;
             }
             if (!member.position.isBefore(needed)) {
+                fits = true;
+                if (member.out >= member.room) {
+                    continue;
+                }
                 seen++;
                 if (seen == 1) {
                     first = member;
@@ -454,8 +493,8 @@
         if (first != null) {
             return second == null || busyness(first) <= busyness(second) ? first : second;
         }
-        if (replication.replicasCheck() && advanced != null && statement.misses < 2) {
-            return advanced;
+        if (!fits && replication.replicasCheck() && advanced != null && statement.misses < 2) {
+            return advanced.out < advanced.room ? advanced : null;
         }
         return primaryFor(statement);
     }
@@ -481,7 +520,7 @@
 
     private double busyness(Node node) {
         double crossing = node.zone != standing.zone() && standing.crossingPrice() > 0 ? 1.3 : 1;
-        return (node.out + 1) * node.slowness * (1 + 2 * node.util * node.util) * (1 + 10 * node.errors)
+        return (node.out + 1) * node.strain * (1 + 2 * node.util * node.util) * (1 + 10 * node.errors)
             * crossing / (node.size * warmth(node));
     }
 
@@ -499,7 +538,7 @@
         if (node.out++ == 0) {
             node.owesSince = now;
         }
-        noteWork(node, typical[statement.workload]);
+        noteSent(node, typical[statement.workload]);
         outbound.execute(statement.id, node.id, timeout);
     }
 
@@ -537,6 +576,10 @@
         if (statement.terms.lateShare() <= 0) {
             end = end.earlier(statement.takenAt.plus(statement.terms.slo()));
         }
+        if (statement.out == 0 && statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
+            // Waiting for room any longer would leave too little of the SLO time for the work itself.
+            end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
+        }
         return !now.isBefore(end);
     }
 
@@ -584,9 +627,7 @@
             }
         }
         for (Group group : groups) {
-            if (!group.held.isEmpty()) {
-                change(group);
-            }
+            change(group);
         }
         scanDue = open.isEmpty() ? Moment.NEVER : now.plus(SCAN);
     }
@@ -607,7 +648,7 @@
     // ---- Health: what executions and polls tell.
 
     private Span silenceOf(Node node) {
-        return new Span((long) (typicalOfAll * node.slowness * (2 + 4.0 / node.out))).longer(LEAST_SILENCE);
+        return new Span((long) (meanSlo * node.strain * (2 + 4.0 / node.out))).longer(LEAST_SILENCE);
     }
 
     private void learnHealth(Node node, Statement statement, Ending ending, Span took) {
@@ -623,25 +664,41 @@
                 lose(node);
             }
             case TIMED_OUT -> {
-                node.slowness = Math.min(20, node.slowness * 1.2);
+                learnStrain(node, statement, took);
                 node.pollDue = now;
                 pollDue = now;
             }
             default -> { }
         }
         if (ending == Ending.COMPLETED) {
-            double usual = typical[statement.workload];
-            node.slowness += LEARN * (Math.min(20, took.micros() / usual) - node.slowness);
-            typical[statement.workload] += LEARN / 4 * (took.micros() - usual);
+            learnStrain(node, statement, took);
+            typical[statement.workload] += LEARN / 4 * (took.micros() - typical[statement.workload]);
             typicalOfAll += LEARN / 4 * (took.micros() - typicalOfAll);
-        } else if (ending == Ending.FULL) {
-            node.slowness = Math.min(20, node.slowness * 1.2);
+            noteBorne(node, typical[statement.workload]);
+        } else if (ending == Ending.FULL && now.since(node.cutAt).isLongerThan(new Span((long) typicalOfAll))) {
+            node.room = Math.max(1, 0.7 * Math.min(node.room, node.out + 1));
+            node.cutAt = now;
         }
         if (node.out == 0) {
             node.owesSince = Moment.NEVER;
         }
     }
 
+    /**
+     * Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks only
+     * where the node is strained and says that its cores are busy: strain alone may be a slow disk, a heavy
+     * statement or all nodes slow at once, and then fewer executions would only waste what the node can still do.
+     */
+    private void learnStrain(Node node, Statement statement, Span took) {
+        node.strain += LEARN * (Math.min(5, took.over(statement.terms.slo())) - node.strain);
+        usualStrain += LEARN / 4 * (node.strain - usualStrain);
+        if (node.util > BUSY && node.strain > STRAINED) {
+            node.room = Math.max(1, node.room - 0.3);
+        } else if (node.out + 1 > 0.7 * node.room) {
+            node.room = Math.min(MOST_ROOM, node.room + (node.util < BUSY ? 0.5 : 1 / node.room));
+        }
+    }
+
     private void learnRole(Node node, Statement statement, Ending ending, Role role) {
         if (role == Role.PRIMARY) {
             node.claimed = node.claimed.later(now);
@@ -700,7 +757,7 @@
     private void forgive(Node node) {
         if (!node.silent) {
             double kept = Math.exp(-Math.max(0, now.since(node.agedAt).over(FORGIVEN)));
-            node.slowness = 1 + (node.slowness - 1) * kept;
+            node.strain = usualStrain + (node.strain - usualStrain) * kept;
             node.errors *= kept;
             node.agedAt = now;
         }
@@ -729,9 +786,13 @@
         return node.recentWork * Math.exp(-now.since(node.recentAt).micros() / 5e6) / 5;
     }
 
-    private void noteWork(Node node, double work) {
+    /** Only what was answered shows what a node can bear; what is sent to it may be a storm of retries. */
+    private void noteBorne(Node node, double work) {
         node.recentWork = 5 * workRate(node) + work;
         node.recentAt = now;
+    }
+
+    private void noteSent(Node node, double work) {
         if (warmth(node) < 1) {
             node.coldWork = coldLevel(node) + work;
             node.coldAt = now;
--- a/src/main/java/basaltlever/model/Group.java
+++ b/src/main/java/basaltlever/model/Group.java
@@ -14,6 +14,8 @@
     public final int number;
     public final List<Node> members = new ArrayList<>();
     public final ArrayDeque<Statement> held = new ArrayDeque<>();
+    /** Reads that wait for room or a position, by rank of importance. */
+    public final List<ArrayDeque<Statement>> waiting = new ArrayList<>();
     public Phase phase = Phase.HOLD;
     public Moment holdSince;
     public Node primary;
--- a/src/main/java/basaltlever/model/Node.java
+++ b/src/main/java/basaltlever/model/Node.java
@@ -31,7 +31,11 @@
     public boolean silent;
     public boolean down;
     public Moment downSince = Moment.NEVER;
-    public double slowness = 1;
+    /** Response time over SLO time, lately. */
+    public double strain = 0.25;
+    /** How many executions this router may have out here. */
+    public double room = 8;
+    public Moment cutAt = Moment.LONG_AGO;
     public double errors;
     public Moment agedAt = Moment.LONG_AGO;
 
