--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -55,6 +55,7 @@
     private static final int SESSIONS = 20_000;
     private static final double FIRST_STRAIN = 0.25;
     private static final double STRAINED = 0.4;
+    private static final double HOPELESS = 0.8;
     private static final double BUSY = 0.9;
     private static final double MOST_ROOM = 500;
     private static final double FOR_WRITES = 0.3;
@@ -688,13 +689,15 @@
      * Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks only
      * where the node is strained and says that its cores are busy: strain alone may be a slow disk, a heavy
      * statement or all nodes slow at once, and then fewer executions would only waste what the node can still do.
+     * Past the hopeless mark it shrinks whatever the report says: work whose time-out has passed may go on unseen
+     * in the node, so a router that took its slot for free would keep the node crowded for good.
      */
     private void learnStrain(Node node, Statement statement, Span took) {
         node.strain += LEARN * (Math.min(5, took.over(statement.terms.slo())) - node.strain);
         usualStrain += LEARN / 4 * (node.strain - usualStrain);
-        if (node.util > BUSY && node.strain > STRAINED) {
+        if (node.util > BUSY && node.strain > STRAINED || node.strain > HOPELESS) {
             node.room = Math.max(1, node.room - 0.3);
-        } else if (node.out + 1 > 0.7 * node.room) {
+        } else if (node.out + 1 > 0.7 * node.room && node.strain < 1.5 * STRAINED) {
             node.room = Math.min(MOST_ROOM, node.room + (node.util < BUSY ? 0.5 : 1 / node.room));
         }
     }
