--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -454,7 +454,7 @@
     private Node primaryFor(Statement statement) {
         Node primary = statement.group.primary;
         double kept = statement.terms.needs() == Needs.WRITE || statement.terms.needs() == Needs.FRESH ? 0 : FOR_WRITES;
-        return primary != null && isUsable(primary, statement) && primary.out < primary.room * (1 - kept)
+        return primary != null && isUsable(primary, statement) && hasRoom(primary, 1 - kept)
             ? primary : null;
     }
 
@@ -474,7 +474,7 @@
             }
             if (!member.position.isBefore(needed)) {
                 fits = true;
-                if (member.out >= member.room) {
+                if (!hasRoom(member, 1)) {
                     continue;
                 }
                 seen++;
@@ -495,7 +495,7 @@
             return second == null || busyness(first) <= busyness(second) ? first : second;
         }
         if (!fits && replication.replicasCheck() && advanced != null && statement.misses < 2) {
-            return advanced.out < advanced.room ? advanced : null;
+            return hasRoom(advanced, 1) ? advanced : null;
         }
         return primaryFor(statement);
     }
@@ -664,7 +664,12 @@
                 goDown(node);
                 lose(node);
             }
-            case TIMED_OUT -> {
+            case TIMED_OUT, CANCELLED -> {
+                node.ghosts = ghosts(node) + 1;
+                node.ghostsAt = now;
+                if (ending == Ending.CANCELLED) {
+                    break;
+                }
                 learnStrain(node, statement, took);
                 node.pollDue = now;
                 pollDue = now;
@@ -702,6 +707,15 @@
         }
     }
 
+    /** What was given up on may still run in its node: it goes on taking up room for about as long as work takes. */
+    private double ghosts(Node node) {
+        return node.ghosts * Math.exp(-now.since(node.ghostsAt).micros() / typicalOfAll);
+    }
+
+    private boolean hasRoom(Node node, double share) {
+        return node.out + ghosts(node) < node.room * share;
+    }
+
     private void learnRole(Node node, Statement statement, Ending ending, Role role) {
         if (role == Role.PRIMARY) {
             node.claimed = node.claimed.later(now);
--- a/src/main/java/basaltlever/model/Node.java
+++ b/src/main/java/basaltlever/model/Node.java
@@ -34,8 +34,11 @@
     /** Response time over SLO time, lately. */
     public double strain = 0.25;
     /** How many executions this router may have out here. */
-    public double room = 8;
+    public double room = 4;
     public Moment cutAt = Moment.LONG_AGO;
+    /** Executions given up on that may still take up the node, fading. */
+    public double ghosts;
+    public Moment ghostsAt = Moment.LONG_AGO;
     public double errors;
     public Moment agedAt = Moment.LONG_AGO;
 
