--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -510,7 +510,7 @@
     }
 
     private boolean isUsable(Node node, Statement statement) {
-        if (!listedForUse(node) || node.down) {
+        if (!listedForUse(node) || node.down || now.isBefore(node.restsUntil)) {
             return false;
         }
         if (node.silent && (node.out > 0 || now.since(node.agedAt).isShorterThan(TRIAL))) {
@@ -654,7 +654,14 @@
 
     private void learnHealth(Node node, Statement statement, Ending ending, Span took) {
         switch (ending) {
-            case COMPLETED, ERROR, FULL, MISS -> {
+            case FULL -> {
+                // A hanging node whose queue has filled turns work away at once: that is no sign of life, and a
+                // statement sent back to it at once would only burn its executions.
+                node.fullInRow = Math.min(5, node.fullInRow + 1);
+                node.restsUntil = now.plus(new Span((long) (typicalOfAll * (1 << node.fullInRow) / 2)));
+            }
+            case COMPLETED, ERROR, MISS -> {
+                node.fullInRow = 0;
                 up(node);
                 node.silent = false;
                 node.owesSince = now;
--- a/src/main/java/basaltlever/model/Node.java
+++ b/src/main/java/basaltlever/model/Node.java
@@ -36,6 +36,8 @@
     /** How many executions this router may have out here. */
     public double room = 4;
     public Moment cutAt = Moment.LONG_AGO;
+    public int fullInRow;
+    public Moment restsUntil = Moment.LONG_AGO;
     /** Executions given up on that may still take up the node, fading. */
     public double ghosts;
     public Moment ghostsAt = Moment.LONG_AGO;
