--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -51,7 +51,8 @@
     private static final Span FIRST_BACKOFF = Span.ofMillis(250);
     private static final double POLL_POINTS = 0.005;
     private static final double LEARN = 0.1;
-    private static final double COLD_SAFETY = 0.6;
+    private static final double COLD_SAFETY = 0.75;
+    private static final double COLD_BURST = 0.3;
     private static final int SESSIONS = 20_000;
     private static final double FIRST_STRAIN = 0.25;
     private static final double STRAINED = 0.4;
@@ -824,7 +825,7 @@
     }
 
     private double coldLevel(Node node) {
-        return Math.max(0, node.coldWork - coldRate(node) / 2 * now.since(node.coldAt).micros() / 1e6);
+        return Math.max(0, node.coldWork - coldRate(node) * (1 - COLD_BURST) * now.since(node.coldAt).micros() / 1e6);
     }
 
     /**
@@ -833,14 +834,14 @@
      */
     private double coldRate(Node node) {
         double sum = 0;
-        int warm = 0;
+        double size = 0;
         for (Node member : node.group.members) {
             if (member != node && listedForUse(member) && !member.down && warmth(member) >= 1) {
                 sum += workRate(member);
-                warm++;
+                size += member.size;
             }
         }
-        double borne = warm == 0 ? 0 : sum / warm;
+        double borne = size == 0 ? 0 : sum / size * node.size;
         return Math.max(COLD_SAFETY * warmUp.topplesAt() * warmth(node) * borne,
             typicalOfAll * 1e6 / warmUp.topplesIn().micros() / standing.routers());
     }
@@ -849,7 +850,7 @@
         if (warmth(node) >= 1) {
             return true;
         }
-        double burst = coldRate(node) / 2 * warmUp.topplesIn().micros() / 1e6;
+        double burst = coldRate(node) * COLD_BURST * warmUp.topplesIn().micros() / 1e6;
         double level = coldLevel(node);
         return level <= 0 || level + work <= burst;
     }
