--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -234,7 +234,7 @@
         statement.out--;
         node.out--;
         learnHealth(node, statement, ending, now.since(sent));
-        learnRole(node, statement, ending, role);
+        learnRole(node, statement, ending, role, sent);
         learnPosition(node, statement, ending, position);
         if (!ending.provesNotRun) {
             statement.mayHaveRun = true;
@@ -724,9 +724,10 @@
         return node.out + ghosts(node) < node.room * share;
     }
 
-    private void learnRole(Node node, Statement statement, Ending ending, Role role) {
+    private void learnRole(Node node, Statement statement, Ending ending, Role role, Moment sent) {
         if (role == Role.PRIMARY) {
-            node.claimed = node.claimed.later(now);
+            // Answers can overtake each other: a claim counts from the sending, so that no later denial is undone.
+            node.claimed = node.claimed.later(sent);
         } else if (role == Role.REPLICA || ending == Ending.MISS && statement.terms.needs() == Needs.WRITE) {
             node.denied = now;
         }
--- /dev/null
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -0,0 +1,228 @@
+package basaltlever;
+
+import static basaltlever.StandIn.ANY;
+import static basaltlever.StandIn.BOUNDED;
+import static basaltlever.StandIn.FRESH;
+import static basaltlever.StandIn.KEYED;
+import static basaltlever.StandIn.SESSION;
+import static basaltlever.StandIn.WRITE;
+import static basaltlever.StandIn.check;
+import static basaltlever.StandIn.ms;
+
+import basaltlever.gateway.Ending;
+import basaltlever.gateway.Listing;
+import basaltlever.gateway.Role;
+import basaltlever.time.Moment;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** Plain cases: the transitions of the hold, where statements go, and one case for each failure that was found. */
+class HoldTest {
+    private static List<Integer> statements(StandIn world) {
+        return world.sent.stream().map(StandIn.Sent::statement).toList();
+    }
+
+    @Example
+    void aFreshRouterPollsAllAndHoldsUntilOneAnswersAsPrimary() {
+        StandIn world = StandIn.plain().list(3);
+        int first = world.take(WRITE);
+        int second = world.take(FRESH);
+        check(world.polled.containsAll(List.of(0, 1, 2)) && world.sent.isEmpty(), "polls all, sends nothing");
+        world.poll(1, Role.REPLICA, world.now);
+        check(world.sent.isEmpty(), "a replica releases nothing");
+        world.poll(2, Role.PRIMARY, world.now);
+        check(statements(world).equals(List.of(first, second)) && world.last().node() == 2, "released in order");
+    }
+
+    @Example
+    void aMissStartsTheHoldAndTheNewPrimaryGetsTheHeldInOrder() {
+        StandIn world = StandIn.plain().steady(20);
+        int first = world.take(WRITE);
+        world.later(10).end(world.last(), Ending.MISS, Role.REPLICA);
+        int second = world.take(WRITE);
+        check(world.sent.size() == 1, "nothing new goes to the old primary");
+        world.later(20).poll(1, Role.PRIMARY, world.now);
+        check(statements(world).equals(List.of(first, first, second)) && world.last().node() == 1, "in order");
+    }
+
+    @Example
+    void aFailedConnectionStartsTheHoldAndAnOldClaimDoesNotEndIt() {
+        StandIn world = StandIn.plain().steady(20);
+        world.take(WRITE);
+        Moment before = world.now;
+        world.later(10).end(world.last(), Ending.NO_CONNECTION, Role.UNTOLD);
+        world.later(10).poll(0, Role.PRIMARY, before);
+        check(world.sent.size() == 1, "the report is older than the loss");
+        world.later(50).poll(0, Role.PRIMARY, world.now);
+        check(world.sent.size() == 2, "a newer one proves that it lives");
+    }
+
+    @Example
+    void aPrimaryThatAnswersAsReplicaStartsTheHold() {
+        StandIn world = StandIn.plain().steady(20);
+        world.take(FRESH);
+        world.later(10).end(world.last(), Ending.COMPLETED, Role.REPLICA);
+        world.take(WRITE);
+        check(world.sent.size() == 1, "held");
+    }
+
+    @Example
+    void aLoneTimeOutOnlyPollsAtOnce() {
+        StandIn world = StandIn.plain().steady(20);
+        world.take(FRESH);
+        world.polled.clear();
+        world.end(world.last(), Ending.TIMED_OUT, Role.UNTOLD);
+        check(world.polled.contains(0), "polled at once");
+        int next = world.take(WRITE);
+        check(world.last().statement() == next, "no hold");
+    }
+
+    @Example
+    void aPrimaryThatAnswersNothingIsHeldThoughItsPollsLookWell() {
+        StandIn world = StandIn.plain().steady(20);
+        world.take(WRITE, 9, Moment.LONG_AGO, 3_000);
+        for (int i = 0; i < 60; i++) {
+            world.later(20).poll(0, Role.PRIMARY, world.now);
+        }
+        int next = world.take(WRITE);
+        check(world.last().statement() != next, "held");
+        world.end(world.last(), Ending.COMPLETED, Role.PRIMARY, world.now);
+        world.poll(0, Role.PRIMARY, world.now);
+        check(world.last().statement() == next, "an answer makes it primary again");
+    }
+
+    @Example
+    void aHoldThatOutlastsAStatementRejectsWhatNeverRanAndAbortsWhatMayHave() {
+        StandIn world = StandIn.plain().steady(20);
+        int maybe = world.take(WRITE);
+        world.end(world.last(), Ending.RESET, Role.UNTOLD);
+        check(world.aborted.equals(List.of(maybe)), "aborted at once, since it can't be sent again");
+        int never = world.take(WRITE);
+        world.later(1_100);
+        check(world.rejected.equals(List.of(never)), "rejected before the client leaves");
+    }
+
+    @Example
+    void aDeduplicatedStatementIsSentAgainOnlyWithinItsWindow() {
+        StandIn world = StandIn.plain().steady(20);
+        int keyed = world.take(KEYED, 9, Moment.LONG_AGO, 5_000);
+        world.end(world.last(), Ending.RESET, Role.UNTOLD);
+        world.later(100).poll(1, Role.PRIMARY, world.now);
+        check(world.sent.size() == 2 && world.last().statement() == keyed, "sent to the new primary");
+        world.later(10).end(world.last(), Ending.RESET, Role.UNTOLD);
+        world.later(1_600).poll(2, Role.PRIMARY, world.now);
+        check(world.sent.size() == 2 && world.aborted.equals(List.of(keyed)), "not after the window");
+    }
+
+    @Example
+    void readsGoToReplicasProvenNewEnoughElseToThePrimary() {
+        StandIn world = StandIn.plain().steady(299);
+        world.take(BOUNDED);
+        check(world.last().node() != 0, "inside the bound");
+        world.later(5);
+        world.take(BOUNDED);
+        check(world.last().node() == 0, "outside of it, and replicas do not check");
+        StandIn checking = new StandIn(true, false, true, false, true).steady(400);
+        checking.poll(2, Role.REPLICA, checking.now.minus(ms(350)));
+        checking.take(BOUNDED);
+        check(checking.last().node() == 2, "the most advanced where replicas check");
+    }
+
+    @Example
+    void aSessionSeesItsOwnWrite() {
+        StandIn world = StandIn.plain().steady(20);
+        world.take(WRITE);
+        Moment commit = world.now.plus(ms(7));
+        world.later(10).end(world.last(), Ending.COMPLETED, Role.PRIMARY, commit);
+        world.take(SESSION);
+        check(world.last().node() == 0, "no replica is proven to have the write");
+        world.poll(2, Role.REPLICA, commit);
+        world.take(SESSION);
+        check(world.last().node() == 2, "now one is");
+    }
+
+    @Example
+    void nothingNewGoesToAPrimaryThatDrains() {
+        StandIn world = StandIn.plain().steady(20);
+        world.relist(0, Listing.DRAINING, Moment.LONG_AGO);
+        world.take(WRITE);
+        world.poll(0, Role.PRIMARY, world.now);
+        check(world.sent.isEmpty(), "held until another takes over");
+        world.poll(1, Role.PRIMARY, world.now);
+        check(world.last().node() == 1, "released");
+    }
+
+    @Example
+    void aFailedWatchIsAskedForAgainWellBeforeTheRouterCountsAsInformed() {
+        StandIn world = new StandIn(false, false, false, true, true).list(2);
+        int asked = world.watches;
+        world.balance.listFailed(world.now);
+        world.later(2_500);
+        check(world.watches > asked, "asked again");
+    }
+
+    /** Found on ho-karachi: executions timed out for good while the reports of all nodes said that cores were free. */
+    @Example
+    void roomShrinksUnderHopelessStrainWhateverReportsSay() {
+        StandIn world = StandIn.plain().steady(20);
+        for (int i = 0; i < 200; i++) {
+            world.later(5).poll(1 + i % 2, Role.REPLICA, world.now);
+            world.take(ANY);
+            world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(290)))
+                .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.TIMED_OUT, Role.UNTOLD));
+        }
+        long out = world.sent.stream().filter(s -> s.node() != 0 && !world.ended.contains(s)).count();
+        check(out <= 6, "still out: " + out);
+    }
+
+    /** Found on kigali-cards: hanging nodes whose queues had filled burnt every execution of a statement. */
+    @Example
+    void aNodeThatTurnsWorkAwayRests() {
+        StandIn world = StandIn.plain().list(1);
+        world.poll(0, Role.PRIMARY, world.now);
+        int id = world.take(WRITE);
+        world.end(world.last(), Ending.FULL, Role.UNTOLD);
+        check(world.sent.size() == 1, "not sent back at once");
+        world.later(400);
+        check(world.sent.size() == 2 && world.last().statement() == id, "sent again later");
+    }
+
+    /** Found on kigali-cards: retries made warm nodes seem strong, and cold ones got more than they could take. */
+    @Example
+    void aColdNodeGetsItsShareOfWhatWarmOnesAnswered() {
+        StandIn world = StandIn.plain().steady(20);
+        for (int i = 0; i < 400; i++) {
+            world.later(10);
+            world.take(ANY);
+            world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(90)))
+                .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
+            if (i == 200) {
+                world.relist(1, Listing.READY, world.now);
+            }
+        }
+        long cold = world.sent.stream().skip(200).filter(s -> s.node() == 1).count();
+        check(cold > 2 && cold < 70, "cold node got " + cold);
+    }
+
+    @Example
+    void readsOnANodeThatAnswersNobodyAreCopiedElsewhere() {
+        StandIn world = StandIn.plain().steady(20);
+        int id = world.take(BOUNDED);
+        int stuck = world.last().node();
+        for (int i = 0; i < 60; i++) {
+            world.later(10);
+            world.poll(1, Role.REPLICA, world.now);
+            world.poll(2, Role.REPLICA, world.now);
+        }
+        check(world.sent.size() > 1 && world.sent.get(1).statement() == id && world.sent.get(1).node() != stuck,
+            "a copy elsewhere");
+    }
+
+    @Example
+    void aGroupThatNobodyServesStillGetsItsAnswer() {
+        StandIn world = StandIn.plain();
+        int id = world.take(ANY);
+        world.later(400);
+        check(world.rejected.equals(List.of(id)), "rejected");
+    }
+}
--- /dev/null
+++ b/src/test/java/basaltlever/RulesTest.java
@@ -0,0 +1,114 @@
+package basaltlever;
+
+import static basaltlever.StandIn.ms;
+
+import basaltlever.gateway.Ending;
+import basaltlever.gateway.Role;
+import basaltlever.time.Moment;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Seeded random runs over every mix of start values; {@link StandIn} checks the five rules at each act. */
+class RulesTest {
+    @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void theRulesHoldThroughFailures(@ForAll boolean check, @ForAll boolean positions, @ForAll boolean tokens,
+                                     @ForAll boolean asked, @ForAll boolean copies, @ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        StandIn world = new StandIn(check, positions, tokens, asked, copies);
+        world.playWith(chance.split(), 3 + chance.nextInt(3));
+        for (int step = 0; step < 800; step++) {
+            world.run(chance.nextInt(1, 20));
+            for (int n = chance.nextInt(3); n > 0; n--) {
+                world.take(chance.nextInt(6), chance.nextInt(5), chance.nextInt(3) == 0 ? Moment.LONG_AGO
+                    : world.now.minus(ms(chance.nextInt(400))), 100 + chance.nextInt(1_500));
+            }
+            if (chance.nextInt(25) == 0) {
+                upset(world, chance);
+            }
+        }
+        world.run(4_000);
+    }
+
+    private static void upset(StandIn world, SplittableRandom chance) {
+        int id = chance.nextInt(world.members.size());
+        StandIn.Member member = world.members.get(id);
+        switch (chance.nextInt(7)) {
+            case 0 -> {
+                member.alive = !member.alive;
+                if (member.alive) {
+                    member.startedAt = world.now;
+                    member.primary = false;
+                    member.sends.clear();
+                }
+            }
+            case 1 -> member.hangs = !member.hangs;
+            case 2 -> member.failing = chance.nextBoolean() ? 0 : 0.7;
+            case 3, 4 -> {
+                if (member.alive && !member.hangs) {
+                    world.members.forEach(other -> {
+                        other.position = other.primary && other.alive ? world.now : other.position;
+                        other.primary = false;
+                    });
+                    member.primary = true;
+                    member.wasPrimary = true;
+                    member.toldReplica = false;
+                }
+            }
+            case 5 -> {
+                member.listedReady = !member.listedReady;
+                world.listAll();
+            }
+            default -> world.listAll();
+        }
+    }
+
+    /** Reports and answers that no sound node gives: nothing may crash, and each statement gets its one answer. */
+    @Property(tries = 100, seed = "815", shrinking = ShrinkingMode.OFF)
+    void nonsenseBreaksNothing(@ForAll boolean check, @ForAll boolean tokens, @ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        StandIn world = new StandIn(check, true, tokens, true, true);
+        world.list(3);
+        Ending[] endings = Ending.values();
+        Role[] roles = Role.values();
+        double[] odd = {Double.NaN, Double.POSITIVE_INFINITY, -3, 0.5, 1e300};
+        for (int step = 0; step < 600; step++) {
+            if (chance.nextInt(3) > 0) {
+                world.later(chance.nextInt(10));
+            }
+            world.sent.stream().filter(open -> !world.now.isBefore(world.fates.get(open.statement()).leaves))
+                .filter(world.ended::add).toList().forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+            Moment when = chance.nextInt(9) == 0 ? new Moment(chance.nextLong() / 8)
+                : world.now.plus(ms(chance.nextInt(2_000) - 1_500));
+            switch (chance.nextInt(4)) {
+                case 0 -> world.take(chance.nextInt(6), chance.nextInt(3), world.now.minus(ms(50)), 400);
+                case 1 -> world.balance.polled(world.now, chance.nextInt(3), endings[chance.nextInt(endings.length)],
+                    roles[chance.nextInt(3)], when, odd[chance.nextInt(odd.length)]);
+                case 2 -> {
+                    if (!world.sent.isEmpty()) {
+                        int back = Math.min(world.sent.size(), 1 + chance.nextInt(4));
+                        StandIn.Sent old = world.sent.get(world.sent.size() - back);
+                        // Some of these ended before: a second outcome must be passed over.
+                        StandIn.check(old.execution() < world.fates.get(old.statement()).executions, "unknown");
+                        if (!world.ended.add(old)) {
+                            StandIn.check(!world.balance.ended(world.now, old.statement(), old.execution(),
+                                Ending.MISS, Role.REPLICA, when, false), "an outcome counted twice");
+                        } else {
+                            world.end(old, endings[chance.nextInt(endings.length)], roles[chance.nextInt(3)], when);
+                        }
+                    }
+                }
+                default -> world.balance.clientLeft(world.now, world.leave(chance));
+            }
+        }
+        for (int i = 0; i < 100; i++) {
+            world.later(5);
+            world.sent.stream().filter(open -> !world.now.isBefore(world.fates.get(open.statement()).leaves))
+                .filter(world.ended::add).toList().forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+        }
+        world.sent.stream().filter(world.ended::add).toList()
+            .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+        StandIn.check(world.fates.stream().allMatch(fate -> fate.answered), "a statement without an answer");
+    }
+}
