--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -58,6 +58,8 @@
     private static final double STRAINED = 0.4;
     private static final double HOPELESS = 0.8;
     private static final double BUSY = 0.9;
+    private static final double FIRST_ROOM = 12;
+    private static final double LEAST_ROOM = 0.2;
     private static final double MOST_ROOM = 500;
     private static final double FOR_WRITES = 0.3;
     private static final double PATIENCE = 0.25;
@@ -145,7 +147,8 @@
     public void listed(Moment at, int id, Listing state, int group, int zone, double size, Moment startedAt) {
         now = at;
         while (nodes.size() <= id) {
-            nodes.add(new Node(nodes.size()));
+            // All routers together start out on a node: what one may have out there is split by their number.
+            nodes.add(new Node(nodes.size(), Math.max(1, FIRST_ROOM / standing.routers())));
         }
         Node node = nodes.get(id);
         Group home = group(group);
@@ -690,12 +693,17 @@
             typicalOfAll += LEARN / 4 * (took.micros() - typicalOfAll);
             noteBorne(node, typical[statement.workload]);
         } else if (ending == Ending.FULL && now.since(node.cutAt).isLongerThan(new Span((long) typicalOfAll))) {
-            node.room = Math.max(1, 0.7 * Math.min(node.room, node.out + 1));
+            node.room = Math.max(LEAST_ROOM, 0.7 * Math.min(node.room, node.out + 1));
             node.cutAt = now;
         }
         if (node.out == 0) {
             node.owesSince = Moment.NEVER;
         }
+        if (node.room < 1) {
+            // Room for less than one execution at a time: a pause after each one makes up for the rest.
+            node.ghosts = ghosts(node) + 1 / node.room - 1;
+            node.ghostsAt = now;
+        }
     }
 
     /**
@@ -706,12 +714,15 @@
      * in the node, so a router that took its slot for free would keep the node crowded for good.
      */
     private void learnStrain(Node node, Statement statement, Span took) {
-        node.strain += LEARN * (Math.min(5, took.over(statement.terms.slo())) - node.strain);
+        // The rarer the answers, the more each must count, or a router with little traffic learns too late.
+        double weight = Math.max(LEARN, 1 - Math.exp(-now.since(node.strainAt).micros() / 2e6));
+        node.strain += Math.min(0.5, weight) * (Math.min(5, took.over(statement.terms.slo())) - node.strain);
+        node.strainAt = now;
         usualStrain += LEARN / 4 * (node.strain - usualStrain);
         if (node.util > BUSY && node.strain > STRAINED || node.strain > HOPELESS) {
-            node.room = Math.max(1, node.room - 0.3);
+            node.room = Math.max(LEAST_ROOM, node.room - Math.min(0.3, 0.1 * node.room));
         } else if (node.out + 1 > 0.7 * node.room && node.strain < 1.5 * STRAINED) {
-            node.room = Math.min(MOST_ROOM, node.room + (node.util < BUSY ? 0.5 : 1 / node.room));
+            node.room = Math.min(MOST_ROOM, node.room + (node.util < BUSY ? 0.5 : 1 / Math.max(2, node.room)));
         }
     }
 
--- a/src/main/java/basaltlever/model/Node.java
+++ b/src/main/java/basaltlever/model/Node.java
@@ -34,7 +34,8 @@
     /** Response time over SLO time, lately. */
     public double strain = 0.25;
     /** How many executions this router may have out here. */
-    public double room = 4;
+    public double room;
+    public Moment strainAt = Moment.LONG_AGO;
     public Moment cutAt = Moment.LONG_AGO;
     public int fullInRow;
     public Moment restsUntil = Moment.LONG_AGO;
@@ -50,7 +51,8 @@
     public double coldWork;
     public Moment coldAt = Moment.LONG_AGO;
 
-    public Node(int id) {
+    public Node(int id, double room) {
         this.id = id;
+        this.room = room;
     }
 }
