--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -55,7 +55,7 @@
     private static final double COLD_BURST = 0.3;
     private static final int SESSIONS = 20_000;
     private static final double FIRST_STRAIN = 0.25;
-    private static final double STRAINED = 0.3;
+    private static final double STRAINED = 0.24;
     private static final double HOPELESS = 0.8;
     private static final double BUSY = 0.9;
     private static final double FIRST_ROOM = 12;
