--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -62,7 +62,7 @@
     private static final double LEAST_ROOM = 0.2;
     private static final double MOST_ROOM = 500;
     private static final double FOR_WRITES = 0.3;
-    private static final double PATIENCE = 0.25;
+    private static final double PATIENCE = 0.125;
 
     private record Rule(String name, BooleanSupplier when, Runnable then) {
     }
