--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -596,7 +596,7 @@
         statement.finished = true;
         cancelAll(statement);
         if (harmless) {
-            outbound.reject(statement.id, allowance.longestComeBack().times(0.25 + 0.5 * chance.nextDouble()));
+            outbound.reject(statement.id, allowance.longestComeBack().times(0.75 + 0.25 * chance.nextDouble()));
         } else {
             outbound.abort(statement.id);
         }
