--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -716,10 +716,11 @@
     private void learnStrain(Node node, Statement statement, Span took) {
         // The rarer the answers, the more each must count, or a router with little traffic learns too late.
         double weight = Math.max(LEARN, 1 - Math.exp(-now.since(node.strainAt).micros() / 2e6));
-        node.strain += Math.min(0.5, weight) * (Math.min(5, took.over(statement.terms.slo())) - node.strain);
+        double latest = Math.min(5, took.over(statement.terms.slo()));
+        node.strain += Math.min(0.5, weight) * (latest - node.strain);
         node.strainAt = now;
         usualStrain += LEARN / 4 * (node.strain - usualStrain);
-        if (node.util > BUSY && node.strain > STRAINED || node.strain > HOPELESS) {
+        if (Math.min(node.strain, latest) > (node.util > BUSY ? STRAINED : HOPELESS)) {
             node.room = Math.max(LEAST_ROOM, node.room - Math.min(0.3, 0.1 * node.room));
         } else if (node.out + 1 > 0.7 * node.room && node.strain < 1.5 * STRAINED) {
             node.room = Math.min(MOST_ROOM, node.room + (node.util < BUSY ? 0.5 : 1 / Math.max(2, node.room)));
