--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -420,13 +420,10 @@
     /** What only the primary may take keeps its one order; other reads wait by importance, the highest first. */
     private ArrayDeque<Statement> waitingList(Statement statement) {
         Group group = statement.group;
-        if (statement.terms.needs() == Needs.WRITE || statement.terms.needs() == Needs.FRESH) {
+        if (onlyPrimary(statement)) {
             return group.held;
         }
-        int rank = 0;
-        for (Workload other : workloads) {
-            rank += other.importance() > statement.terms.importance() ? 1 : 0;
-        }
+        int rank = rank(statement);
         while (group.waiting.size() <= rank) {
             group.waiting.add(new ArrayDeque<>());
         }
@@ -445,8 +442,7 @@
             }
             return;
         }
-        Needs needs = statement.terms.needs();
-        Node node = needs == Needs.WRITE || needs == Needs.FRESH ? primaryFor(statement) : readerFor(statement);
+        Node node = onlyPrimary(statement) ? primaryFor(statement) : readerFor(statement);
         if (node != null) {
             execute(statement, node);
         } else if (statement.out == 0) {
@@ -457,9 +453,35 @@
 
     private Node primaryFor(Statement statement) {
         Node primary = statement.group.primary;
-        double kept = statement.terms.needs() == Needs.WRITE || statement.terms.needs() == Needs.FRESH ? 0 : FOR_WRITES;
-        return primary != null && isUsable(primary, statement) && hasRoom(primary, 1 - kept)
-            ? primary : null;
+        if (primary == null || !isUsable(primary, statement)) {
+            return null;
+        }
+        if (onlyPrimary(statement)) {
+            return hasRoom(primary, 1) ? primary : null;
+        }
+        return hasRoom(primary, 1 - FOR_WRITES) && !isOutranked(statement) ? primary : null;
+    }
+
+    /** What has fallen back on the primary takes its spare room by importance, not by who comes at the right moment. */
+    private boolean isOutranked(Statement statement) {
+        Group group = statement.group;
+        boolean outranked = !group.held.isEmpty();
+        for (int rank = Math.min(rank(statement), group.waiting.size()) - 1; rank >= 0; rank--) {
+            outranked |= !group.waiting.get(rank).isEmpty();
+        }
+        return outranked;
+    }
+
+    private static boolean onlyPrimary(Statement statement) {
+        return statement.terms.needs() == Needs.WRITE || statement.terms.needs() == Needs.FRESH;
+    }
+
+    private int rank(Statement statement) {
+        int rank = 0;
+        for (Workload other : workloads) {
+            rank += other.importance() > statement.terms.importance() ? 1 : 0;
+        }
+        return rank;
     }
 
     /** Less busy of two replicas proven new enough; else the most advanced that checks; else the primary. */
