--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -61,6 +61,7 @@
     private static final double FIRST_ROOM = 12;
     private static final double LEAST_ROOM = 0.2;
     private static final double MOST_ROOM = 500;
+    private static final double LEAST_CHANCE = 1.5;
     private static final double FOR_WRITES = 0.3;
     private static final double PATIENCE = 0.125;
 
@@ -603,6 +604,11 @@
         if (statement.terms.lateShare() <= 0) {
             end = end.earlier(statement.takenAt.plus(statement.terms.slo()));
         }
+        if (statement.out == 0) {
+            // Sent with less time than its work takes, it would only load a primary that is behind already, and a
+            // non-idempotent one could no longer be rejected. A long queue in order would serve nothing else.
+            end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload])));
+        }
         if (statement.out == 0 && statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
             // Waiting for room any longer would leave too little of the SLO time for the work itself.
             end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -218,6 +218,16 @@
             "a copy elsewhere");
     }
 
+    /** Found on kochi-hire: a long queue in order sent each write when its client was about to leave. */
+    @Example
+    void aWriteIsNotStartedWithTooLittleTimeLeft() {
+        StandIn world = StandIn.plain().steady(20);
+        world.later(10).relist(0, Listing.DRAINING, Moment.LONG_AGO);
+        int id = world.take(WRITE, 9, Moment.LONG_AGO, 500);
+        world.later(440).poll(1, Role.PRIMARY, world.now);
+        check(world.sent.isEmpty() && world.rejected.equals(List.of(id)), "rejected, since nothing ran");
+    }
+
     @Example
     void aGroupThatNobodyServesStillGetsItsAnswer() {
         StandIn world = StandIn.plain();
