--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -607,7 +607,9 @@
         if (statement.out == 0) {
             // Sent with less time than its work takes, it would only load a primary that is behind already, and a
             // non-idempotent one could no longer be rejected. A long queue in order would serve nothing else.
-            end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload])));
+            // Never more than half the SLO time: with nothing admitted the response time would never be seen to fall.
+            end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload]))
+                .shorter(statement.terms.slo().times(0.5)));
         }
         if (statement.out == 0 && statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
             // Waiting for room any longer would leave too little of the SLO time for the work itself.
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -228,6 +228,24 @@
         check(world.sent.isEmpty() && world.rejected.equals(List.of(id)), "rejected, since nothing ran");
     }
 
+    /** Found in a round on ho-karachi: with slow answers remembered, nothing was admitted that could have corrected it. */
+    @Example
+    void slowAnswersRememberedDoNotShutTheDoorForGood() {
+        StandIn world = StandIn.plain().steady(20);
+        for (int i = 0; i < 120; i++) {
+            world.later(10);
+            world.take(BOUNDED);
+            world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(600)))
+                .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
+        }
+        world.sent.stream().filter(world.ended::add).toList()
+            .forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
+        world.later(600);
+        int before = world.sent.size();
+        world.take(ANY);
+        check(world.sent.size() > before, "admitted");
+    }
+
     @Example
     void aGroupThatNobodyServesStillGetsItsAnswer() {
         StandIn world = StandIn.plain();
