--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -731,7 +731,7 @@
         }
         if (node.room < 1) {
             // Room for less than one execution at a time: a pause after each one makes up for the rest.
-            node.ghosts = ghosts(node) + 1 / node.room - 1;
+            node.ghosts = Math.max(ghosts(node), 1 / node.room - 1);
             node.ghostsAt = now;
         }
     }
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -234,13 +234,18 @@
         StandIn world = StandIn.plain().steady(20);
         for (int i = 0; i < 120; i++) {
             world.later(10);
+            for (int node = 0; node < 3; node++) {
+                world.poll(node, node == 0 ? Role.PRIMARY : Role.REPLICA, world.now);
+            }
             world.take(ANY);
             world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(285)))
                 .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
         }
         world.sent.stream().filter(world.ended::add).toList()
             .forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
-        world.later(600);
+        for (int i = 0; i < 40; i++) {
+            world.later(50).poll(i % 3, i % 3 == 0 ? Role.PRIMARY : Role.REPLICA, world.now);
+        }
         int before = world.sent.size();
         world.take(ANY);
         check(world.sent.size() > before, "admitted");
