--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -30,11 +30,12 @@
 /**
  * Every decision of one router. One instance serves one router and shares nothing with others.
  *
- * <p>How to call it: build it with the start values, then hand it each event as it comes, always with the clock of
- * the batch: listBegins, listed and listEnds (or listFailed), taken, ended, polled, clientLeft, woken. Nodes and
- * statements are small indices of the caller's choice; a statement's index is free again after its final answer and
- * its last execution's end. What it decides comes out through {@link Outbound}. After each event the rules below are
- * gone through from the top until none fires; docs/design.md says where each comes from.
+ * <p>How to call it: build it with the start values, then hand it each event as it comes, always with the
+ * clock of the batch: listBegins, listed and listEnds (or listFailed), taken, ended, polled, clientLeft,
+ * woken. Nodes and statements are small indices of the caller's choice; a statement's index is free again
+ * after its final answer and its last execution's end. What it decides comes out through {@link Outbound}.
+ * After each event the rules below are gone through from the top until none fires; docs/design.md says where
+ * each comes from.
  */
 public final class Balance {
     private static final Span SCAN = Span.ofMillis(10);
@@ -197,7 +198,9 @@
         settle();
     }
 
-    /** The session is 0 where there is none; committed is the session's last write where statements carry it. */
+    /**
+     * The session is 0 where there is none; committed is the session's last write where statements carry it.
+     */
     public void taken(Moment at, int id, int workload, int group, long session, Moment clientLeaves,
                       Moment committed) {
         now = at;
@@ -207,8 +210,8 @@
             case SESSION -> replication.sessionsCarryTokens() ? committed : lastWrite(session);
             default -> Moment.LONG_AGO;
         };
-        Statement statement = new Statement(id, workload, terms, group(group), session, now, clientLeaves, mustSee,
-            allowance.executions());
+        Statement statement = new Statement(id, workload, terms, group(group), session, now,
+            clientLeaves, mustSee, allowance.executions());
         if (id >= statements.length) {
             statements = Arrays.copyOf(statements, 2 * id);
         }
@@ -334,7 +337,9 @@
         change(node.group);
     }
 
-    /** Nothing new goes to a node from the moment the list says so; the grace is left to what is on its way. */
+    /**
+     * Nothing new goes to a node from the moment the list says so; the grace is left to what is on its way.
+     */
     private boolean listedForUse(Node node) {
         return node.listing == Listing.READY
             || node.listing == Listing.GONE && !drains.removalBinds() && !node.drainSeen;
@@ -402,7 +407,9 @@
         release(group);
     }
 
-    /** Held statements are tried in the order they came; those without a place are held again in that order. */
+    /**
+     * Held statements are tried in the order they came; those without a place are held again in that order.
+     */
     private void release(Group group) {
         release(group.held);
         for (ArrayDeque<Statement> reads : group.waiting) {
@@ -418,7 +425,9 @@
         }
     }
 
-    /** What only the primary may take keeps its one order; other reads wait by importance, the highest first. */
+    /**
+     * What only the primary may take keeps its one order; other reads wait by importance, the highest first.
+     */
     private ArrayDeque<Statement> waitingList(Statement statement) {
         Group group = statement.group;
         if (onlyPrimary(statement)) {
@@ -463,7 +472,10 @@
         return hasRoom(primary, 1 - FOR_WRITES) && !isOutranked(statement) ? primary : null;
     }
 
-    /** What has fallen back on the primary takes its spare room by importance, not by who comes at the right moment. */
+    /**
+     * What has fallen back on the primary takes its spare room by importance, not by who comes at the right
+     * moment.
+     */
     private boolean isOutranked(Statement statement) {
         Group group = statement.group;
         boolean outranked = !group.held.isEmpty();
@@ -605,13 +617,15 @@
             end = end.earlier(statement.takenAt.plus(statement.terms.slo()));
         }
         if (statement.out == 0) {
-            // Sent with less time than its work takes, it would only load a primary that is behind already, and a
-            // non-idempotent one could no longer be rejected. A long queue in order would serve nothing else.
-            // Never more than half the SLO time: with nothing admitted the response time would never be seen to fall.
+            // Sent with less time than its work takes, it would only load a primary that is behind already,
+            // and a non-idempotent one could no longer be rejected. A long queue in order would serve nothing
+            // else. Never more than half the SLO time: with nothing admitted the response time would never be
+            // seen to fall.
             end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload]))
                 .shorter(statement.terms.slo().times(0.5)));
         }
-        if (statement.out == 0 && statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
+        if (statement.out == 0 && statement.group.phase == Phase.STEADY
+            && statement.terms.needs() != Needs.WRITE) {
             // Waiting for room any longer would leave too little of the SLO time for the work itself.
             end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
         }
@@ -626,7 +640,8 @@
         statement.finished = true;
         cancelAll(statement);
         if (harmless) {
-            outbound.reject(statement.id, allowance.longestComeBack().times(0.75 + 0.25 * chance.nextDouble()));
+            double share = 0.75 + 0.25 * chance.nextDouble();
+            outbound.reject(statement.id, allowance.longestComeBack().times(share));
         } else {
             outbound.abort(statement.id);
         }
@@ -669,7 +684,8 @@
 
     /** Waiting on nodes that answer nobody: a copy elsewhere may still be in time. */
     private boolean isStuck(Statement statement) {
-        if (statement.out == 0 || statement.terms.repeat() == Repeat.NON_IDEMPOTENT || !mayRunAgain(statement)) {
+        if (statement.out == 0 || statement.terms.repeat() == Repeat.NON_IDEMPOTENT
+            || !mayRunAgain(statement)) {
             return false;
         }
         for (int i = 0; i < statement.executions; i++) {
@@ -689,8 +705,8 @@
     private void learnHealth(Node node, Statement statement, Ending ending, Span took) {
         switch (ending) {
             case FULL -> {
-                // A hanging node whose queue has filled turns work away at once: that is no sign of life, and a
-                // statement sent back to it at once would only burn its executions.
+                // A hanging node whose queue has filled turns work away at once: that is no sign of life, and
+                // a statement sent back to it at once would only burn its executions.
                 node.fullInRow = Math.min(5, node.fullInRow + 1);
                 node.restsUntil = now.plus(new Span((long) (typicalOfAll * (1 << node.fullInRow) / 2)));
             }
@@ -722,7 +738,8 @@
             typical[statement.workload] += LEARN / 4 * (took.micros() - typical[statement.workload]);
             typicalOfAll += LEARN / 4 * (took.micros() - typicalOfAll);
             noteBorne(node, typical[statement.workload]);
-        } else if (ending == Ending.FULL && now.since(node.cutAt).isLongerThan(new Span((long) typicalOfAll))) {
+        } else if (ending == Ending.FULL
+            && now.since(node.cutAt).isLongerThan(new Span((long) typicalOfAll))) {
             node.room = Math.max(LEAST_ROOM, 0.7 * Math.min(node.room, node.out + 1));
             node.cutAt = now;
         }
@@ -737,11 +754,12 @@
     }
 
     /**
-     * Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks only
-     * where the node is strained and says that its cores are busy: strain alone may be a slow disk, a heavy
-     * statement or all nodes slow at once, and then fewer executions would only waste what the node can still do.
-     * Past the hopeless mark it shrinks whatever the report says: work whose time-out has passed may go on unseen
-     * in the node, so a router that took its slot for free would keep the node crowded for good.
+     * Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks
+     * only where the node is strained and says that its cores are busy: strain alone may be a slow disk, a
+     * heavy statement or all nodes slow at once, and then fewer executions would only waste what the node can
+     * still do. Past the hopeless mark it shrinks whatever the report says: work whose time-out has passed
+     * may go on unseen in the node, so a router that took its slot for free would keep the node crowded for
+     * good.
      */
     private void learnStrain(Node node, Statement statement, Span took) {
         // The rarer the answers, the more each must count, or a router with little traffic learns too late.
@@ -753,11 +771,15 @@
         if (Math.min(node.strain, latest) > (node.util > BUSY ? STRAINED : HOPELESS)) {
             node.room = Math.max(LEAST_ROOM, node.room - Math.min(0.3, 0.1 * node.room));
         } else if (node.out + 1 > 0.7 * node.room && node.strain < 1.5 * STRAINED) {
-            node.room = Math.min(MOST_ROOM, node.room + (node.util < BUSY ? 0.5 : 1 / Math.max(2, node.room)));
+            double step = node.util < BUSY ? 0.5 : 1 / Math.max(2, node.room);
+            node.room = Math.min(MOST_ROOM, node.room + step);
         }
     }
 
-    /** What was given up on may still run in its node: it goes on taking up room for about as long as work takes. */
+    /**
+     * What was given up on may still run in its node: it goes on taking up room for about as long as work
+     * takes.
+     */
     private double ghosts(Node node) {
         return node.ghosts * Math.exp(-now.since(node.ghostsAt).micros() / typicalOfAll);
     }
@@ -768,7 +790,8 @@
 
     private void learnRole(Node node, Statement statement, Ending ending, Role role, Moment sent) {
         if (role == Role.PRIMARY) {
-            // Answers can overtake each other: a claim counts from the sending, so that no later denial is undone.
+            // Answers can overtake each other: a claim counts from the sending, so that no later denial is
+            // undone.
             node.claimed = node.claimed.later(sent);
         } else if (role == Role.REPLICA || ending == Ending.MISS && statement.terms.needs() == Needs.WRITE) {
             node.denied = now;
@@ -816,7 +839,8 @@
         if (node.down) {
             node.down = false;
             if (now.since(node.downSince).isLongerThan(RESTARTED)) {
-                // The list tells of a restart only seconds later; until then the node would be taken for warm.
+                // The list tells of a restart only seconds later; until then the node would be taken for
+                // warm.
                 node.startedAt = node.startedAt.later(now);
             }
         }
@@ -868,12 +892,14 @@
     }
 
     private double coldLevel(Node node) {
-        return Math.max(0, node.coldWork - coldRate(node) * (1 - COLD_BURST) * now.since(node.coldAt).micros() / 1e6);
+        return Math.max(0, node.coldWork - coldRate(node) * (1 - COLD_BURST)
+            * now.since(node.coldAt).micros() / 1e6);
     }
 
     /**
-     * The work a second that this router may add to a cold node. What warm members bear from this router is its
-     * share of what a node can do; every router keeping to its share, however uneven, the sum stays below.
+     * The work a second that this router may add to a cold node. What warm members bear from this router is
+     * its share of what a node can do; every router keeping to its share, however uneven, the sum stays
+     * below.
      */
     private double coldRate(Node node) {
         double sum = 0;
@@ -916,11 +942,15 @@
                 node.pollDue = now.plus(pollPeriod(node));
                 outbound.poll(node.id);
             }
-            pollDue = pollDue.earlier(node.pollOut ? node.pollSent.plus(POLL_TIMEOUT).plus(SCAN) : node.pollDue);
+            pollDue = pollDue.earlier(node.pollOut ? node.pollSent.plus(POLL_TIMEOUT).plus(SCAN)
+                : node.pollDue);
         }
     }
 
-    /** Often enough to show replicas inside the tightest bound, where they check reads only at a bearable price. */
+    /**
+     * Often enough to show replicas inside the tightest bound, where they check reads only at a bearable
+     * price.
+     */
     private Span pollPeriod(Node node) {
         Group group = node.group;
         if (group.phase == Phase.HOLD || node.down) {
--- a/src/main/java/basaltlever/adapter/Adapter.java
+++ b/src/main/java/basaltlever/adapter/Adapter.java
@@ -81,7 +81,8 @@
             }
             if (code > 0 && code < LEAST.length) {
                 if (length < LEAST[code]) {
-                    throw new WireFault("record " + i + " of code " + code + " has only " + length + " bytes");
+                    throw new WireFault("record " + i + " of code " + code + " has only " + length
+                        + " bytes");
                 }
                 if (code == 12) {
                     number = fields.getShort(at) & 0xffff;
@@ -123,7 +124,8 @@
         }
         Instance instance = number < instances.length ? instances[number] : null;
         if (instance == null) {
-            throw new WireFault("an event of code " + code + " is for instance " + number + ", which is not running");
+            throw new WireFault("an event of code " + code + " is for instance " + number
+                + ", which is not running");
         }
         if (code == 8 && length < 13 + 4 * (in.get(at + 12) & 0xff)) {
             throw new WireFault("a report is cut short");
--- a/src/main/java/basaltlever/adapter/Indices.java
+++ b/src/main/java/basaltlever/adapter/Indices.java
@@ -39,7 +39,8 @@
         ids[at] = FREE;
         size--;
         // Later entries of the same run would no longer be found past the gap: they are laid anew.
-        for (int next = (at + 1) & (ids.length - 1); ids[next] != FREE; next = (next + 1) & (ids.length - 1)) {
+        int mask = ids.length - 1;
+        for (int next = (at + 1) & mask; ids[next] != FREE; next = (next + 1) & mask) {
             long moved = ids[next];
             ids[next] = FREE;
             int free = slot(moved);
--- a/src/main/java/basaltlever/adapter/Instance.java
+++ b/src/main/java/basaltlever/adapter/Instance.java
@@ -197,7 +197,8 @@
     @Override
     public void execute(int statement, int node, Span timeout) {
         pending[statement]++;
-        putNode(reply.record(number, 7, 14).putInt((int) tickets[statement]), node).putInt((int) timeout.micros());
+        putNode(reply.record(number, 7, 14).putInt((int) tickets[statement]), node)
+            .putInt((int) timeout.micros());
     }
 
     @Override
--- a/src/main/java/basaltlever/adapter/Reply.java
+++ b/src/main/java/basaltlever/adapter/Reply.java
@@ -20,7 +20,8 @@
     /** Opens a record of the instance; the caller puts exactly the stated number of field bytes. */
     ByteBuffer record(int instance, int code, int length) {
         if (bytes.remaining() < length + 16) {
-            ByteBuffer larger = ByteBuffer.allocate(2 * bytes.capacity() + length).order(ByteOrder.LITTLE_ENDIAN);
+            ByteBuffer larger = ByteBuffer.allocate(2 * bytes.capacity() + length)
+                .order(ByteOrder.LITTLE_ENDIAN);
             bytes.flip();
             bytes = larger.put(bytes);
         }
--- a/src/main/java/basaltlever/adapter/StartValues.java
+++ b/src/main/java/basaltlever/adapter/StartValues.java
@@ -89,7 +89,8 @@
                 case "idempotent" -> Workload.Repeat.IDEMPOTENT;
                 case "deduplicated" -> Workload.Repeat.DEDUPLICATED;
                 case "at_most_once" -> Workload.Repeat.NON_IDEMPOTENT;
-                default -> throw new WireFault("setting " + path + "Repeat can't be read: " + text(path + "Repeat"));
+                default -> throw new WireFault("setting " + path + "Repeat can't be read: "
+                    + text(path + "Repeat"));
             };
             Workload.Within within = switch (lines.getOrDefault(path + "Group", "cell")) {
                 case "all" -> Workload.Within.ALL;
@@ -97,7 +98,8 @@
                 default -> Workload.Within.GROUP;
             };
             workloads[i] = new Workload(need, new Span(bound), repeat, within,
-                repeat == Workload.Repeat.DEDUPLICATED ? span(path + "Window") : Span.NONE, span(path + "Slo"),
+                repeat == Workload.Repeat.DEDUPLICATED ? span(path + "Window") : Span.NONE,
+                span(path + "Slo"),
                 span(path + "HardLimit"), number(path + "Worth"), number(path + "LateWorth", 0));
         }
         return workloads;
--- a/src/main/java/basaltlever/gateway/Outbound.java
+++ b/src/main/java/basaltlever/gateway/Outbound.java
@@ -2,9 +2,14 @@
 
 import basaltlever.time.Span;
 
-/** What the decisions may do to the world. Nodes and statements go by the small indices their caller gave them. */
+/**
+ * What the decisions may do to the world. Nodes and statements go by the small indices their caller gave
+ * them.
+ */
 public interface Outbound {
-    /** Starts an execution; they count 0, 1, 2 for each statement. A span of zero lasts as long as the client. */
+    /**
+     * Starts an execution; they count 0, 1, 2 for each statement. A span of zero lasts as long as the client.
+     */
     void execute(int statement, int node, Span timeout);
 
     void cancel(int statement, int execution);
--- a/src/test/java/basaltlever/AdapterTest.java
+++ b/src/test/java/basaltlever/AdapterTest.java
@@ -15,7 +15,8 @@
 /** Frames in, frames out: what the wire page promises, and one plain message for what it does not. */
 class AdapterTest {
     private static final String START = String.join("\n", "Balancers=2", "Zone=0", "Classes.count=1",
-        "Classes.0.Repeat=at_most_once", "Classes.0.Slo=300000", "Classes.0.HardLimit=2000000", "Classes.0.Worth=4",
+        "Classes.0.Repeat=at_most_once", "Classes.0.Slo=300000", "Classes.0.HardLimit=2000000",
+        "Classes.0.Worth=4",
         "FamilyInfo.ClassRead=write", "FamilyInfo.Checks=none", "FamilyInfo.SessionMarks=carried",
         "FamilyInfo.OriginTime=1000000", "Discovery=pushed", "Rules.ColdFrom=0.2", "Rules.Cold=9000000",
         "Rules.FallMultiple=2", "Rules.Fall=1000000", "Rules.AnswerSlack=20000", "Bounds.MaxAttempts=4",
@@ -63,14 +64,16 @@
     }
 
     private AdapterTest list() {
-        record(11, 8 + 28).putInt(5).putInt(1).put((byte) 3).putFloat(0).putShort((short) 0).putInt(0x0a000001)
+        record(11, 8 + 28).putInt(5).putInt(1).put((byte) 3).putFloat(0).putShort((short) 0)
+            .putInt(0x0a000001)
             .putShort((short) 80).putFloat(1).putLong(0).put((byte) 0).putShort((short) 4);
         record(2, 13).put((byte) 2).putLong(1).putInt(5);
         return this;
     }
 
     private AdapterTest incoming(long leaves) {
-        record(3, 39).putInt(77).put((byte) 0).putInt(0).putLong(9).putLong(leaves).putInt(0).putFloat(4).putFloat(0)
+        record(3, 39).putInt(77).put((byte) 0).putInt(0).putLong(9).putLong(leaves)
+            .putInt(0).putFloat(4).putFloat(0)
             .putShort((short) 4);
         return this;
     }
@@ -79,7 +82,8 @@
     void aWriteIsSentOnceThePrimaryAnswersItsPoll() throws Exception {
         spawn(START).list().incoming(3_000_000).batch(2_000_000);
         record(12, 2).putShort((short) 3);
-        record(8, 13 + 12).putInt(0x0a000001).putShort((short) 80).putShort((short) 0).putInt(900).put((byte) 3)
+        record(8, 13 + 12).putInt(0x0a000001).putShort((short) 80).putShort((short) 0)
+            .putInt(900).put((byte) 3)
             .putFloat(0.9f).putFloat(1).putFloat(0.5f);
         record(200, 3).put(new byte[3]);
         ByteBuffer out = batch(2_005_000).run();
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -16,7 +16,10 @@
 import java.util.List;
 import net.jqwik.api.Example;
 
-/** Plain cases: the transitions of the hold, where statements go, and one case for each failure that was found. */
+/**
+ * Plain cases: the transitions of the hold, where statements go, and one case for each failure that was
+ * found.
+ */
 class HoldTest {
     private static List<Integer> statements(StandIn world) {
         return world.sent.stream().map(StandIn.Sent::statement).toList();
@@ -31,7 +34,8 @@
         world.poll(1, Role.REPLICA, world.now);
         check(world.sent.isEmpty(), "a replica releases nothing");
         world.poll(2, Role.PRIMARY, world.now);
-        check(statements(world).equals(List.of(first, second)) && world.last().node() == 2, "released in order");
+        check(statements(world).equals(List.of(first, second)) && world.last().node() == 2,
+            "released in order");
     }
 
     @Example
@@ -42,7 +46,8 @@
         int second = world.take(WRITE);
         check(world.sent.size() == 1, "nothing new goes to the old primary");
         world.later(20).poll(1, Role.PRIMARY, world.now);
-        check(statements(world).equals(List.of(first, first, second)) && world.last().node() == 1, "in order");
+        check(statements(world).equals(List.of(first, first, second)) && world.last().node() == 1,
+            "in order");
     }
 
     @Example
@@ -161,7 +166,10 @@
         check(world.watches > asked, "asked again");
     }
 
-    /** Found on ho-karachi: executions timed out for good while the reports of all nodes said that cores were free. */
+    /**
+     * Found on ho-karachi: executions timed out for good while the reports of all nodes said that cores were
+     * free.
+     */
     @Example
     void roomShrinksUnderHopelessStrainWhateverReportsSay() {
         StandIn world = StandIn.plain().steady(20);
@@ -187,7 +195,10 @@
         check(world.sent.size() == 2 && world.last().statement() == id, "sent again later");
     }
 
-    /** Found on kigali-cards: retries made warm nodes seem strong, and cold ones got more than they could take. */
+    /**
+     * Found on kigali-cards: retries made warm nodes seem strong, and cold ones got more than they could
+     * take.
+     */
     @Example
     void aColdNodeGetsItsShareOfWhatWarmOnesAnswered() {
         StandIn world = StandIn.plain().steady(20);
@@ -214,7 +225,8 @@
             world.poll(1, Role.REPLICA, world.now);
             world.poll(2, Role.REPLICA, world.now);
         }
-        check(world.sent.size() > 1 && world.sent.get(1).statement() == id && world.sent.get(1).node() != stuck,
+        check(world.sent.size() > 1 && world.sent.get(1).statement() == id
+            && world.sent.get(1).node() != stuck,
             "a copy elsewhere");
     }
 
@@ -228,7 +240,10 @@
         check(world.sent.isEmpty() && world.rejected.equals(List.of(id)), "rejected, since nothing ran");
     }
 
-    /** Found in a round on ho-karachi: with slow answers remembered, nothing was admitted that could have corrected it. */
+    /**
+     * Found in a round on ho-karachi: with slow answers remembered, nothing was admitted that could have
+     * corrected it.
+     */
     @Example
     void slowAnswersRememberedDoNotShutTheDoorForGood() {
         StandIn world = StandIn.plain().steady(20);
--- a/src/test/java/basaltlever/RulesTest.java
+++ b/src/test/java/basaltlever/RulesTest.java
@@ -64,7 +64,10 @@
         }
     }
 
-    /** Reports and answers that no sound node gives: nothing may crash, and each statement gets its one answer. */
+    /**
+     * Reports and answers that no sound node gives: nothing may crash, and each statement gets its one
+     * answer.
+     */
     @Property(tries = 100, seed = "815", shrinking = ShrinkingMode.OFF)
     void nonsenseBreaksNothing(@ForAll boolean check, @ForAll boolean tokens, @ForAll long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
@@ -78,24 +81,28 @@
                 world.later(chance.nextInt(10));
             }
             world.sent.stream().filter(open -> !world.now.isBefore(world.fates.get(open.statement()).leaves))
-                .filter(world.ended::add).toList().forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+                .filter(world.ended::add).toList()
+                .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
             Moment when = chance.nextInt(9) == 0 ? new Moment(chance.nextLong() / 8)
                 : world.now.plus(ms(chance.nextInt(2_000) - 1_500));
             switch (chance.nextInt(4)) {
                 case 0 -> world.take(chance.nextInt(6), chance.nextInt(3), world.now.minus(ms(50)), 400);
-                case 1 -> world.balance.polled(world.now, chance.nextInt(3), endings[chance.nextInt(endings.length)],
+                case 1 -> world.balance.polled(world.now, chance.nextInt(3),
+                    endings[chance.nextInt(endings.length)],
                     roles[chance.nextInt(3)], when, odd[chance.nextInt(odd.length)]);
                 case 2 -> {
                     if (!world.sent.isEmpty()) {
                         int back = Math.min(world.sent.size(), 1 + chance.nextInt(4));
                         StandIn.Sent old = world.sent.get(world.sent.size() - back);
                         // Some of these ended before: a second outcome must be passed over.
-                        StandIn.check(old.execution() < world.fates.get(old.statement()).executions, "unknown");
+                        StandIn.check(old.execution() < world.fates.get(old.statement()).executions,
+                            "unknown");
                         if (!world.ended.add(old)) {
                             StandIn.check(!world.balance.ended(world.now, old.statement(), old.execution(),
                                 Ending.MISS, Role.REPLICA, when, false), "an outcome counted twice");
                         } else {
-                            world.end(old, endings[chance.nextInt(endings.length)], roles[chance.nextInt(3)], when);
+                            world.end(old, endings[chance.nextInt(endings.length)],
+                                roles[chance.nextInt(3)], when);
                         }
                     }
                 }
@@ -105,7 +112,8 @@
         for (int i = 0; i < 100; i++) {
             world.later(5);
             world.sent.stream().filter(open -> !world.now.isBefore(world.fates.get(open.statement()).leaves))
-                .filter(world.ended::add).toList().forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+                .filter(world.ended::add).toList()
+                .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
         }
         world.sent.stream().filter(world.ended::add).toList()
             .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -20,7 +20,10 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
-/** Stands in for the world of one router: records what it does, checks the rules at each act, and can play nodes. */
+/**
+ * Stands in for the world of one router: records what it does, checks the rules at each act, and can play
+ * nodes.
+ */
 final class StandIn implements Outbound {
     static final int ANY = 0;
     static final int BOUNDED = 1;
@@ -90,17 +93,21 @@
     }
 
     static Workload workload(Needs needs, Repeat repeat, double importance, double late) {
-        return new Workload(needs, ms(300), repeat, Within.GROUP, ms(600), ms(300), ms(2_000), importance, late);
+        return new Workload(needs, ms(300), repeat, Within.GROUP, ms(600), ms(300), ms(2_000), importance,
+            late);
     }
 
     StandIn(boolean check, boolean positions, boolean tokens, boolean asked, boolean copies) {
         workloads = new Workload[] {workload(Needs.ANY, Repeat.IDEMPOTENT, 1, 0),
-            workload(Needs.BOUNDED, Repeat.IDEMPOTENT, 2, 0.2), workload(Needs.SESSION, Repeat.IDEMPOTENT, 2, 0),
-            workload(Needs.FRESH, Repeat.IDEMPOTENT, 1, 0.2), workload(Needs.WRITE, Repeat.NON_IDEMPOTENT, 4, 0.5),
+            workload(Needs.BOUNDED, Repeat.IDEMPOTENT, 2, 0.2),
+            workload(Needs.SESSION, Repeat.IDEMPOTENT, 2, 0),
+            workload(Needs.FRESH, Repeat.IDEMPOTENT, 1, 0.2),
+            workload(Needs.WRITE, Repeat.NON_IDEMPOTENT, 4, 0.5),
             workload(Needs.WRITE, Repeat.DEDUPLICATED, 3, 0.5)};
         replication = new Replication(check, positions, tokens);
         allowance = new Allowance(6, copies, true, true, ms(1_000), SLACK);
-        balance = new Balance(this, new SplittableRandom(7), new Standing(2, 0, 0.01, 0.02), workloads, replication,
+        balance = new Balance(this, new SplittableRandom(7), new Standing(2, 0, 0.01, 0.02),
+            workloads, replication,
             new Drains(asked, ms(10_000), true), warmUp, allowance, now);
     }
 
@@ -218,7 +225,8 @@
         if (terms.repeat() == Repeat.NON_IDEMPOTENT) {
             check(!fate.mayHaveRun && fate.out == 0, "rule 2: non-idempotent sent again");
         } else if (terms.repeat() == Repeat.DEDUPLICATED && (fate.mayHaveRun || fate.out > 0)) {
-            check(now.isBefore(fate.firstMaybe.plus(terms.window())), "rule 2: sent again outside its window");
+            check(now.isBefore(fate.firstMaybe.plus(terms.window())),
+                "rule 2: sent again outside its window");
         }
         if (node < members.size()) {
             checkNode(members.get(node), fate, terms);
@@ -240,8 +248,10 @@
         Span age = now.since(member.startedAt);
         if (age.isShorterThan(warmUp.warmAfter()) && member.toldStart.equals(member.startedAt)) {
             member.sends.add(now);
-            long recent = member.sends.stream().filter(at -> now.since(at).isShorterThan(warmUp.topplesIn())).count();
-            double able = NODE_RATE * (warmUp.coldFrom() + (1 - warmUp.coldFrom()) * age.over(warmUp.warmAfter()));
+            long recent = member.sends.stream()
+                .filter(at -> now.since(at).isShorterThan(warmUp.topplesIn())).count();
+            double able = NODE_RATE * (warmUp.coldFrom() + (1 - warmUp.coldFrom())
+                * age.over(warmUp.warmAfter()));
             check(recent <= Math.max(2, warmUp.topplesAt() * able), "rule 4: cold node pushed over");
         }
     }
@@ -289,7 +299,8 @@
                 balance.polled(now, node, Ending.COMPLETED, primary ? Role.PRIMARY : Role.REPLICA, position,
                     plays.nextInt(20) == 0 ? Double.NaN : plays.nextDouble());
             } else {
-                balance.polled(now, node, plays.nextBoolean() ? Ending.TIMED_OUT : Ending.NO_CONNECTION, Role.UNTOLD,
+                balance.polled(now, node, plays.nextBoolean() ? Ending.TIMED_OUT : Ending.NO_CONNECTION,
+                    Role.UNTOLD,
                     Moment.LONG_AGO, Double.NaN);
             }
         });
@@ -360,7 +371,8 @@
         double takes = member.alive ? 1 + plays.nextInt(40) : 3;
         Ending ending = !member.alive ? plays.nextBoolean() ? Ending.NO_CONNECTION : Ending.RESET
             : member.hangs ? Ending.TIMED_OUT : plays.nextDouble() < member.failing ? Ending.ERROR
-            : plays.nextInt(50) == 0 ? Ending.FULL : write && !member.primary ? Ending.MISS : Ending.COMPLETED;
+            : plays.nextInt(50) == 0 ? Ending.FULL : write && !member.primary ? Ending.MISS
+                : Ending.COMPLETED;
         if (ending == Ending.TIMED_OUT || takes > left) {
             takes = left;
             ending = Ending.TIMED_OUT;
@@ -398,7 +410,8 @@
             }
         }
         for (int i = 0; i < fates.size(); i++) {
-            check(fates.get(i).answered || !now.isAfter(fates.get(i).leaves.plus(SLACK)), "rule 1: no answer in time");
+            check(fates.get(i).answered || !now.isAfter(fates.get(i).leaves.plus(SLACK)),
+                "rule 1: no answer in time");
         }
     }
 }
