--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -250,6 +250,9 @@
         if (ending == Ending.MISS) {
             statement.misses++;
         }
+        if (ending == Ending.MISS || ending == Ending.COMPLETED) {
+            node.behind += LEARN * ((ending == Ending.MISS ? 1 : 0) - node.behind);
+        }
         if (answered && !statement.finished) {
             statement.finished = true;
             cancelAll(statement);
@@ -505,6 +508,9 @@
         Node first = null;
         Node second = null;
         Node advanced = null;
+        // Reports that are this old on arrival can't show even an up-to-date replica as new enough; the one they
+        // call the most advanced would get every read, be crowded by them and fall behind in earnest.
+        boolean blind = now.since(needed).isShorterThan(group.reportAge);
         boolean fits = false;
         int seen = 0;
         for (Node member : group.members) {
@@ -526,7 +532,8 @@
                     first = slot == 0 ? member : first;
                     second = slot == 1 ? member : second;
                 }
-            } else if (advanced == null || member.position.isAfter(advanced.position)) {
+            } else if (advanced == null || (blind ? likelihood(member) < likelihood(advanced)
+                : member.position.isAfter(advanced.position))) {
                 advanced = member;
             }
         }
@@ -539,6 +546,11 @@
         return primaryFor(statement);
     }
 
+    /** The replica that checks is asked by how often it was behind lately and how busy it is; least is best. */
+    private double likelihood(Node node) {
+        return busyness(node) * (1 + 10 * node.behind);
+    }
+
     private boolean wasTried(Statement statement, Node node) {
         for (int i = 0; i < statement.executions; i++) {
             if (statement.nodes[i] == node) {
--- a/src/main/java/basaltlever/model/Node.java
+++ b/src/main/java/basaltlever/model/Node.java
@@ -43,6 +43,8 @@
     public double ghosts;
     public Moment ghostsAt = Moment.LONG_AGO;
     public double errors;
+    /** How often it turned away a read that it was too far behind for, lately. */
+    public double behind;
     public Moment agedAt = Moment.LONG_AGO;
 
     public Moment startedAt = Moment.LONG_AGO;
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -266,6 +266,20 @@
         check(world.sent.size() > before, "admitted");
     }
 
+    /** Found on kochi-hire: with frozen reports one replica was called the most advanced and got every read. */
+    @Example
+    void reportsTooOldToTellDoNotSendEveryReadToOneReplica() {
+        StandIn world = new StandIn(true, false, true, false, true).list(3);
+        world.poll(0, Role.PRIMARY, world.now.minus(ms(900)));
+        world.poll(1, Role.REPLICA, world.now.minus(ms(900)));
+        world.poll(2, Role.REPLICA, world.now.minus(ms(950)));
+        for (int i = 0; i < 8; i++) {
+            world.take(BOUNDED);
+        }
+        long first = world.sent.stream().filter(s -> s.node() == 1).count();
+        check(first >= 2 && first <= 6 && world.sent.size() == 8, "spread, not all on the seemingly newest");
+    }
+
     @Example
     void aGroupThatNobodyServesStillGetsItsAnswer() {
         StandIn world = StandIn.plain();
