--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -129,6 +129,9 @@
         check(world.last().node() == 0, "outside of it, and replicas do not check");
         StandIn checking = new StandIn(true, false, true, false, true).steady(400);
         checking.poll(2, Role.REPLICA, checking.now.minus(ms(350)));
+        for (int i = 0; i < 9; i++) {
+            checking.poll(0, Role.PRIMARY, checking.now);
+        }
         checking.take(BOUNDED);
         check(checking.last().node() == 2, "the most advanced where replicas check");
     }
