--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -510,7 +510,8 @@
         Node advanced = null;
         // Reports that are this old on arrival can't show even an up-to-date replica as new enough; the one they
         // call the most advanced would get every read, be crowded by them and fall behind in earnest.
-        boolean blind = now.since(needed).isShorterThan(group.reportAge);
+        boolean blind = !replication.positionsInAnswers()
+            && now.since(needed).isShorterThan(group.reportAge);
         boolean fits = false;
         int seen = 0;
         for (Node member : group.members) {
