--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -150,7 +150,8 @@
         now = at;
         while (nodes.size() <= id) {
             // All routers together start out on a node: what one may have out there is split by their number.
-            nodes.add(new Node(nodes.size(), Math.max(1, FIRST_ROOM / standing.routers())));
+            nodes.add(new Node(nodes.size(), Math.max(1, FIRST_ROOM / standing.routers()),
+                FIRST_STRAIN));
         }
         Node node = nodes.get(id);
         Group home = group(group);
@@ -218,7 +219,7 @@
         statements[id] = statement;
         open.add(statement);
         Group home = statement.group;
-        home.rate = home.rate * Math.exp(-now.since(home.rateAt).micros() / 2e6) + 0.5;
+        home.rate = faded(home.rate, home.rateAt, 2e6) + 0.5;
         home.rateAt = now;
         if (scanDue == Moment.NEVER) {
             scanDue = now.plus(SCAN);
@@ -332,8 +333,7 @@
 
     private void relist(Node node, Listing state) {
         node.listing = state;
-        node.pollDue = now;
-        pollDue = now;
+        pollNow(node);
         if (!listedForUse(node)) {
             lose(node);
         }
@@ -380,9 +380,8 @@
         group.lost = node;
         group.primary = null;
         for (Node member : group.members) {
-            member.pollDue = now;
+            pollNow(member);
         }
-        pollDue = now;
         change(group);
     }
 
@@ -508,8 +507,8 @@
         Node first = null;
         Node second = null;
         Node advanced = null;
-        // Reports that are this old on arrival can't show even an up-to-date replica as new enough; the one they
-        // call the most advanced would get every read, be crowded by them and fall behind in earnest.
+        // Reports that are this old on arrival can't show even an up-to-date replica as new enough; the one
+        // they call the most advanced would get every read, be crowded by them and fall behind in earnest.
         boolean blind = !replication.positionsInAnswers()
             && now.since(needed).isShorterThan(group.reportAge);
         boolean fits = false;
@@ -547,7 +546,9 @@
         return primaryFor(statement);
     }
 
-    /** The replica that checks is asked by how often it was behind lately and how busy it is; least is best. */
+    /**
+     * The replica that checks is asked by how often it was behind lately and how busy it is; least is best.
+     */
     private double likelihood(Node node) {
         return busyness(node) * (1 + 10 * node.behind);
     }
@@ -636,11 +637,10 @@
             // seen to fall.
             end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload]))
                 .shorter(statement.terms.slo().times(0.5)));
-        }
-        if (statement.out == 0 && statement.group.phase == Phase.STEADY
-            && statement.terms.needs() != Needs.WRITE) {
-            // Waiting for room any longer would leave too little of the SLO time for the work itself.
-            end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
+            if (statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
+                // Waiting for room any longer would leave too little of the SLO time for the work itself.
+                end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
+            }
         }
         return !now.isBefore(end);
     }
@@ -673,8 +673,7 @@
             if (node.out > 0 && !node.silent && now.since(node.owesSince).isLongerThan(silenceOf(node))) {
                 node.silent = true;
                 node.agedAt = now;
-                node.pollDue = now;
-                pollDue = now;
+                pollNow(node);
                 lose(node);
             }
         }
@@ -685,10 +684,11 @@
                 if (last != statement) {
                     open.set(i, last);
                 }
-            } else if (statement.queued ? isOverdue(statement) : isStuck(statement)) {
+            } else if (isStuck(statement)) {
                 unplaced.add(statement);
             }
         }
+        // What waits is placed again, or given up when its time has come, as each group is judged.
         for (Group group : groups) {
             change(group);
         }
@@ -722,6 +722,10 @@
                 // a statement sent back to it at once would only burn its executions.
                 node.fullInRow = Math.min(5, node.fullInRow + 1);
                 node.restsUntil = now.plus(new Span((long) (typicalOfAll * (1 << node.fullInRow) / 2)));
+                if (now.since(node.cutAt).isLongerThan(new Span((long) typicalOfAll))) {
+                    node.room = Math.max(LEAST_ROOM, 0.7 * Math.min(node.room, node.out + 1));
+                    node.cutAt = now;
+                }
             }
             case COMPLETED, ERROR, MISS -> {
                 node.fullInRow = 0;
@@ -734,15 +738,11 @@
                 goDown(node);
                 lose(node);
             }
-            case TIMED_OUT, CANCELLED -> {
-                node.ghosts = ghosts(node) + 1;
-                node.ghostsAt = now;
-                if (ending == Ending.CANCELLED) {
-                    break;
-                }
+            case CANCELLED -> haunt(node, ghosts(node) + 1);
+            case TIMED_OUT -> {
+                haunt(node, ghosts(node) + 1);
                 learnStrain(node, statement, took);
-                node.pollDue = now;
-                pollDue = now;
+                pollNow(node);
             }
             default -> { }
         }
@@ -751,18 +751,13 @@
             typical[statement.workload] += LEARN / 4 * (took.micros() - typical[statement.workload]);
             typicalOfAll += LEARN / 4 * (took.micros() - typicalOfAll);
             noteBorne(node, typical[statement.workload]);
-        } else if (ending == Ending.FULL
-            && now.since(node.cutAt).isLongerThan(new Span((long) typicalOfAll))) {
-            node.room = Math.max(LEAST_ROOM, 0.7 * Math.min(node.room, node.out + 1));
-            node.cutAt = now;
         }
         if (node.out == 0) {
             node.owesSince = Moment.NEVER;
         }
         if (node.room < 1) {
             // Room for less than one execution at a time: a pause after each one makes up for the rest.
-            node.ghosts = Math.max(ghosts(node), 1 / node.room - 1);
-            node.ghostsAt = now;
+            haunt(node, Math.max(ghosts(node), 1 / node.room - 1));
         }
     }
 
@@ -794,7 +789,12 @@
      * takes.
      */
     private double ghosts(Node node) {
-        return node.ghosts * Math.exp(-now.since(node.ghostsAt).micros() / typicalOfAll);
+        return faded(node.ghosts, node.ghostsAt, typicalOfAll);
+    }
+
+    private void haunt(Node node, double ghosts) {
+        node.ghosts = ghosts;
+        node.ghostsAt = now;
     }
 
     private boolean hasRoom(Node node, double share) {
@@ -843,8 +843,7 @@
             node.down = true;
             node.downSince = now;
         }
-        node.pollDue = now;
-        pollDue = now;
+        pollNow(node);
     }
 
     private void up(Node node) {
@@ -879,6 +878,10 @@
         }
     }
 
+    private double faded(double value, Moment at, double micros) {
+        return value * Math.exp(-now.since(at).micros() / micros);
+    }
+
     // ---- Cold nodes.
 
     private double warmth(Node node) {
@@ -888,7 +891,7 @@
     }
 
     private double workRate(Node node) {
-        return node.recentWork * Math.exp(-now.since(node.recentAt).micros() / 5e6) / 5;
+        return faded(node.recentWork, node.recentAt, 5e6) / 5;
     }
 
     /** Only what was answered shows what a node can bear; what is sent to it may be a storm of retries. */
@@ -939,6 +942,11 @@
 
     // ---- Polls and waking.
 
+    private void pollNow(Node node) {
+        node.pollDue = now;
+        pollDue = now;
+    }
+
     private void pollDue() {
         pollDue = Moment.NEVER;
         for (Node node : nodes) {
@@ -972,7 +980,7 @@
         if (!replication.replicasCheck() || standing.pollPrice() <= 0) {
             return cadence;
         }
-        double rate = group.rate * Math.exp(-now.since(group.rateAt).micros() / 2e6);
+        double rate = faded(group.rate, group.rateAt, 2e6);
         double perSecond = POLL_POINTS / standing.pollPrice() * rate / Math.max(1, group.members.size());
         return Span.ofMillis(Math.min(1e6, 1_000 / Math.max(1e-3, perSecond))).longer(cadence)
             .shorter(SLOWEST_POLL);
--- a/src/main/java/basaltlever/model/Node.java
+++ b/src/main/java/basaltlever/model/Node.java
@@ -32,7 +32,7 @@
     public boolean down;
     public Moment downSince = Moment.NEVER;
     /** Response time over SLO time, lately. */
-    public double strain = 0.25;
+    public double strain;
     /** How many executions this router may have out here. */
     public double room;
     public Moment strainAt = Moment.LONG_AGO;
@@ -53,8 +53,9 @@
     public double coldWork;
     public Moment coldAt = Moment.LONG_AGO;
 
-    public Node(int id, double room) {
+    public Node(int id, double room, double strain) {
         this.id = id;
         this.room = room;
+        this.strain = strain;
     }
 }
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -179,8 +179,7 @@
         for (int i = 0; i < 200; i++) {
             world.later(5).poll(1 + i % 2, Role.REPLICA, world.now);
             world.take(ANY);
-            world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(290)))
-                .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.TIMED_OUT, Role.UNTOLD));
+            world.endThose(s -> world.isOlder(s, 290), Ending.TIMED_OUT, Role.UNTOLD);
         }
         long out = world.sent.stream().filter(s -> s.node() != 0 && !world.ended.contains(s)).count();
         check(out <= 6, "still out: " + out);
@@ -208,8 +207,7 @@
         for (int i = 0; i < 400; i++) {
             world.later(10);
             world.take(ANY);
-            world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(90)))
-                .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
+            world.endThose(s -> world.isOlder(s, 90), Ending.COMPLETED, Role.REPLICA);
             if (i == 200) {
                 world.relist(1, Listing.READY, world.now);
             }
@@ -256,11 +254,9 @@
                 world.poll(node, node == 0 ? Role.PRIMARY : Role.REPLICA, world.now);
             }
             world.take(ANY);
-            world.sent.stream().filter(s -> world.now.since(s.at()).isLongerThan(ms(285)))
-                .filter(world.ended::add).toList().forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
+            world.endThose(s -> world.isOlder(s, 285), Ending.COMPLETED, Role.REPLICA);
         }
-        world.sent.stream().filter(world.ended::add).toList()
-            .forEach(s -> world.end(s, Ending.COMPLETED, Role.REPLICA));
+        world.endThose(s -> true, Ending.COMPLETED, Role.REPLICA);
         for (int i = 0; i < 40; i++) {
             world.later(50).poll(i % 3, i % 3 == 0 ? Role.PRIMARY : Role.REPLICA, world.now);
         }
@@ -269,7 +265,9 @@
         check(world.sent.size() > before, "admitted");
     }
 
-    /** Found on kochi-hire: with frozen reports one replica was called the most advanced and got every read. */
+    /**
+     * Found on kochi-hire: with frozen reports one replica was called the most advanced and got every read.
+     */
     @Example
     void reportsTooOldToTellDoNotSendEveryReadToOneReplica() {
         StandIn world = new StandIn(true, false, true, false, true).list(3);
--- a/src/test/java/basaltlever/RulesTest.java
+++ b/src/test/java/basaltlever/RulesTest.java
@@ -80,9 +80,7 @@
             if (chance.nextInt(3) > 0) {
                 world.later(chance.nextInt(10));
             }
-            world.sent.stream().filter(open -> !world.now.isBefore(world.fates.get(open.statement()).leaves))
-                .filter(world.ended::add).toList()
-                .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+            world.timeOutWhoseClientLeft();
             Moment when = chance.nextInt(9) == 0 ? new Moment(chance.nextLong() / 8)
                 : world.now.plus(ms(chance.nextInt(2_000) - 1_500));
             switch (chance.nextInt(4)) {
@@ -111,12 +109,9 @@
         }
         for (int i = 0; i < 100; i++) {
             world.later(5);
-            world.sent.stream().filter(open -> !world.now.isBefore(world.fates.get(open.statement()).leaves))
-                .filter(world.ended::add).toList()
-                .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+            world.timeOutWhoseClientLeft();
         }
-        world.sent.stream().filter(world.ended::add).toList()
-            .forEach(open -> world.end(open, Ending.TIMED_OUT, Role.UNTOLD));
+        world.endThose(open -> true, Ending.TIMED_OUT, Role.UNTOLD);
         StandIn.check(world.fates.stream().allMatch(fate -> fate.answered), "a statement without an answer");
     }
 }
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /**
  * Stands in for the world of one router: records what it does, checks the rules at each act, and can play
@@ -207,6 +208,20 @@
         balance.ended(now, execution.statement, execution.execution, ending, role, position, fate.answered);
     }
 
+    /** Ends, once each, those executions that the test picks. */
+    void endThose(Predicate<Sent> which, Ending ending, Role role) {
+        sent.stream().filter(which).filter(ended::add).toList().forEach(s -> end(s, ending, role));
+    }
+
+    /** What is still out when its client leaves times out then. */
+    void timeOutWhoseClientLeft() {
+        endThose(s -> !now.isBefore(fates.get(s.statement).leaves), Ending.TIMED_OUT, Role.UNTOLD);
+    }
+
+    boolean isOlder(Sent execution, double millis) {
+        return now.since(execution.at).isLongerThan(ms(millis));
+    }
+
     // ---- What the router does, with the rules checked.
 
     static void check(boolean holds, String rule) {
