--- a/src/test/java/basaltlever/RulesTest.java
+++ b/src/test/java/basaltlever/RulesTest.java
@@ -67,11 +67,10 @@
     @Property(tries = 10, seed = "1729", shrinking = ShrinkingMode.OFF)
     void manyUnevenRoutersTogetherPushNoColdNodeOver(@ForAll long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
-        int routers = 150;
         long[] cold = new long[120];
         long warm = 0;
-        for (int router = 0; router < routers; router++) {
-            StandIn world = new StandIn(true, true, true, false, true, routers, chance.nextLong()).steady(20);
+        for (int router = 0; router < 150; router++) {
+            StandIn world = new StandIn(true, true, true, false, true, 150, chance.nextLong()).steady(20);
             int every = router % 10 == 0 ? 2 : 20;
             for (int i = chance.nextInt(every), step = 0; step < 240; step++) {
                 world.later(50).poll(0, Role.PRIMARY, world.now);
@@ -83,8 +82,7 @@
                 if ((step + i) % every == 0) {
                     world.take(StandIn.ANY);
                 }
-                boolean sent = !world.sent.isEmpty() && world.ended.add(world.last());
-                if (sent) {
+                if (!world.sent.isEmpty() && world.ended.add(world.last())) {
                     warm += step >= 80 && step < 120 && world.last().node() == 2 ? 1 : 0;
                     cold[Math.max(0, step - 120)] += step >= 120 && world.last().node() == 1 ? 1 : 0;
                     world.end(world.last(), Ending.COMPLETED, Role.REPLICA, world.now);
