--- a/src/main/java/basaltlever/adapter/Adapter.java
+++ b/src/main/java/basaltlever/adapter/Adapter.java
@@ -1,5 +1,6 @@
 package basaltlever.adapter;
 
+import basaltlever.config.StartFault;
 import basaltlever.time.Moment;
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -166,7 +167,11 @@
         if (number >= instances.length) {
             instances = java.util.Arrays.copyOf(instances, number + 64);
         }
-        instances[number] = new Instance(number, reply, in.getLong(at),
-            new String(text, StandardCharsets.UTF_8), now);
+        try {
+            instances[number] = new Instance(number, reply, in.getLong(at),
+                new String(text, StandardCharsets.UTF_8), now);
+        } catch (StartFault fault) {
+            throw new WireFault("settings of instance " + number + ": " + fault.getMessage());
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/basaltlever/cli/Main.java
@@ -0,0 +1,124 @@
+package basaltlever.cli;
+
+import basaltlever.adapter.Adapter;
+import basaltlever.adapter.WireFault;
+import basaltlever.config.StartFault;
+import basaltlever.config.StartFile;
+import basaltlever.net.Router;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The command line: picks what stands in front of the decisions. */
+public final class Main {
+    private static final int MISUSED = 2;
+
+    private Main() {
+    }
+
+    @Parameters(commandDescription = "Runs the router that the start file describes")
+    private static final class Serve {
+        @Parameter(names = "--file", description = "start file; $GW_CONFIG where it is not given")
+        private String file = System.getenv("GW_CONFIG");
+    }
+
+    @Parameters(commandDescription = "Reads a start file and names all that is wrong with it")
+    private static final class Check {
+        @Parameter(description = "FILE", required = true)
+        private List<String> files = new ArrayList<>();
+    }
+
+    @Parameters(commandDescription = "Speaks the simulator's wire on standard input and output")
+    private static final class Bench {
+    }
+
+    @Parameters(commandDescription = "Prints the version")
+    private static final class Version {
+    }
+
+    @Parameters(commandDescription = "Prints this page")
+    private static final class Help {
+    }
+
+    public static void main(String[] args) throws InterruptedException {
+        Serve serve = new Serve();
+        Check check = new Check();
+        JCommander line = JCommander.newBuilder().programName("basaltlever")
+            .addCommand("serve", serve).addCommand("check", check).addCommand("adapter", new Bench())
+            .addCommand("version", new Version()).addCommand("help", new Help()).build();
+        try {
+            line.parse(args);
+        } catch (ParameterException fault) {
+            System.err.println("basaltlever: " + fault.getMessage());
+            line.usage();
+            System.exit(MISUSED);
+        }
+        String command = line.getParsedCommand();
+        switch (command == null ? "" : command) {
+            case "serve" -> serve(serve.file);
+            case "check" -> check(check.files);
+            case "adapter" -> adapter();
+            case "version" -> System.out.println("basaltlever " + Main.class.getPackage()
+                .getImplementationVersion());
+            case "help" -> line.usage();
+            default -> {
+                line.usage();
+                System.exit(MISUSED);
+            }
+        }
+    }
+
+    private static void serve(String file) throws InterruptedException {
+        if (file == null) {
+            System.err.println("basaltlever: no start file: set GW_CONFIG or give --file");
+            System.exit(MISUSED);
+        }
+        Router router = new Router();
+        Thread drain = new Thread(() -> {
+            router.drain();
+            try {
+                router.awaitStop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            // Left to itself, a runtime that ends on a signal reports the signal, not that all was answered.
+            Runtime.getRuntime().halt(0);
+        }, "drain");
+        try {
+            router.start(Path.of(file));
+        } catch (StartFault fault) {
+            System.err.println("basaltlever: " + fault.getMessage().replace("\n", "\nbasaltlever: "));
+            System.exit(MISUSED);
+        }
+        Runtime.getRuntime().addShutdownHook(drain);
+        router.awaitStop();
+    }
+
+    private static void check(List<String> files) {
+        boolean sound = true;
+        for (String file : files) {
+            try {
+                StartFile.read(Path.of(file));
+                System.out.println(file + " is sound");
+            } catch (StartFault fault) {
+                sound = false;
+                System.err.println(fault.getMessage());
+            }
+        }
+        System.exit(sound ? 0 : MISUSED);
+    }
+
+    private static void adapter() {
+        try {
+            new Adapter(System.in, System.out).run();
+        } catch (WireFault | IOException fault) {
+            System.err.println("basaltlever: " + fault.getMessage());
+            System.exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/config/StartFile.java
@@ -0,0 +1,128 @@
+package basaltlever.config;
+
+import basaltlever.json.Json;
+import basaltlever.json.JsonFault;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The file a router is started with: where it stands, its limits, the list as last held, its start values. */
+public final class StartFile {
+    private static final long LARGEST = 16 << 20;
+    private static final int FEWEST_SOCKETS = 64;
+
+    private final String name;
+    private final InetSocketAddress listen;
+    private final InetSocketAddress discovery;
+    private final long seed;
+    private final int sockets;
+    private final Map<?, ?> known;
+    private final StartValues values;
+
+    private StartFile(Map<?, ?> tree, List<String> faults) {
+        Keys keys = Keys.ofTree(tree, faults);
+        name = keys.text("name", "router");
+        listen = address(keys, "listen");
+        discovery = address(keys, "discovery");
+        seed = seed(keys);
+        sockets = (int) keys.number("limits.sockets", FEWEST_SOCKETS, 1e6, 1_024);
+        known = tree.get("known") instanceof Map<?, ?> list ? list : Map.of();
+        if (tree.get("known") != null && !(tree.get("known") instanceof Map)) {
+            keys.fault("known can't be read; it takes an object as the list of members has it");
+        }
+        if (!(tree.get("settings") instanceof Map)) {
+            keys.fault("settings is missing");
+            values = null;
+        } else {
+            int before = faults.size();
+            values = new StartValues(Keys.ofTree(tree.get("settings"), faults));
+            faults.subList(before, faults.size()).replaceAll(line -> "settings." + line);
+        }
+    }
+
+    public static StartFile read(Path path) throws StartFault {
+        String text;
+        try {
+            if (Files.isDirectory(path)) {
+                throw new StartFault(List.of(path + " is a directory"));
+            }
+            if (Files.size(path) > LARGEST) {
+                throw new StartFault(List.of(path + " is larger than " + LARGEST + " bytes"));
+            }
+            text = Files.readString(path);
+        } catch (IOException cause) {
+            throw new StartFault(List.of(path + " can't be read: " + cause));
+        }
+        return of(text);
+    }
+
+    public static StartFile of(String text) throws StartFault {
+        List<String> faults = new ArrayList<>();
+        try {
+            if (Json.read(text) instanceof Map<?, ?> tree) {
+                StartFile file = new StartFile(tree, faults);
+                if (faults.isEmpty()) {
+                    return file;
+                }
+            } else {
+                faults.add("the start file is no JSON object");
+            }
+        } catch (JsonFault fault) {
+            faults.add("the start file is no JSON: " + fault.getMessage());
+        }
+        throw new StartFault(faults);
+    }
+
+    private static InetSocketAddress address(Keys keys, String path) {
+        String text = keys.text(path);
+        InetSocketAddress address = Addresses.parse(text);
+        if (address == null && keys.has(path)) {
+            keys.fault(path + " can't be read: " + text + "; it takes ADDRESS:PORT");
+        }
+        return address;
+    }
+
+    private static long seed(Keys keys) {
+        String text = keys.text("seed", "0");
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            keys.fault("seed can't be read: " + text + "; it takes up to 16 hexadecimal digits");
+            return 0;
+        }
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public InetSocketAddress listen() {
+        return listen;
+    }
+
+    public InetSocketAddress discovery() {
+        return discovery;
+    }
+
+    public long seed() {
+        return seed;
+    }
+
+    /** How many file descriptors the process may hold. */
+    public int sockets() {
+        return sockets;
+    }
+
+    /** The list of members as this router last had it, in the form of discovery. */
+    public Map<?, ?> known() {
+        return known;
+    }
+
+    public StartValues values() {
+        return values;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/core/Core.java
@@ -0,0 +1,202 @@
+package basaltlever.core;
+
+import basaltlever.Balance;
+import basaltlever.gateway.Ending;
+import basaltlever.gateway.Listing;
+import basaltlever.gateway.Outbound;
+import basaltlever.gateway.Role;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * One router without its I/O: turns the outside's ids into small indices, counts the executions that are out
+ * and sees to it that each statement gets one final answer. Sockets and the simulator both stand on it.
+ */
+public final class Core<N> implements Outbound {
+    private static final int FIRST = 256;
+
+    private final Outside<N> outside;
+    private final Balance balance;
+
+    private final Map<N, Integer> nodeIndices = new HashMap<>();
+    private final List<N> nodes = new ArrayList<>();
+
+    private final Indices slots = new Indices();
+    private long[] tickets = new long[FIRST];
+    /** Executions still out, and one more while the final answer is owed: at zero the slot is free again. */
+    private int[] pending = new int[FIRST];
+    private int[] executions = new int[FIRST];
+    private boolean[] answered = new boolean[FIRST];
+    private int[] free = new int[FIRST];
+    private int freeCount;
+    private int slotCount;
+
+    public Core(Outside<N> outside, Function<Outbound, Balance> balance) {
+        this.outside = outside;
+        this.balance = balance.apply(this);
+    }
+
+    // ---- What is heard from outside.
+
+    public void listBegins() {
+        balance.listBegins();
+    }
+
+    public void listed(Moment now, N node, Listing listing, int group, int zone, double size,
+                       Moment startedAt) {
+        Integer known = nodeIndices.get(node);
+        if (known == null) {
+            known = nodes.size();
+            nodes.add(node);
+            nodeIndices.put(node, known);
+        }
+        balance.listed(now, known, listing, group, zone, size, startedAt);
+    }
+
+    public void listEnds(Moment now, boolean complete, boolean asked) {
+        balance.listEnds(now, complete, asked);
+    }
+
+    public void listFailed(Moment now) {
+        balance.listFailed(now);
+    }
+
+    /** False where a statement with this ticket is still here. */
+    public boolean taken(Moment now, long ticket, int workload, int group, long session, Moment clientLeaves,
+                         Moment committed) {
+        if (slots.find(ticket) >= 0) {
+            return false;
+        }
+        int slot = freeCount > 0 ? free[--freeCount] : slotCount++;
+        if (slot >= tickets.length) {
+            int size = 2 * tickets.length;
+            tickets = Arrays.copyOf(tickets, size);
+            pending = Arrays.copyOf(pending, size);
+            executions = Arrays.copyOf(executions, size);
+            answered = Arrays.copyOf(answered, size);
+            free = Arrays.copyOf(free, size);
+        }
+        slots.put(ticket, slot);
+        tickets[slot] = ticket;
+        pending[slot] = 1;
+        executions[slot] = 0;
+        answered[slot] = false;
+        balance.taken(now, slot, workload, group, session, clientLeaves, committed);
+        return true;
+    }
+
+    /**
+     * True where this is the statement's final answer. Where the outside ends statements by itself it says so
+     * with {@code finished}.
+     */
+    public boolean ended(Moment now, long ticket, int execution, Ending ending, Role role, Moment position,
+                         boolean finished) {
+        int slot = slots.find(ticket);
+        if (slot < 0) {
+            return false;
+        }
+        boolean completes = ending == Ending.COMPLETED && !answered[slot];
+        boolean over = finished || completes || answered[slot];
+        boolean known = balance.ended(now, slot, execution, ending, role, position, over);
+        if (over) {
+            settle(slot);
+        }
+        if (known) {
+            release(slot);
+        }
+        return known && completes;
+    }
+
+    public void polled(Moment now, N node, Ending ending, Role role, Moment position, double util) {
+        Integer known = nodeIndices.get(node);
+        if (known != null) {
+            balance.polled(now, known, ending, role, position, util);
+        }
+    }
+
+    public void clientLeft(Moment now, long ticket) {
+        int slot = slots.find(ticket);
+        if (slot >= 0) {
+            balance.clientLeft(now, slot);
+            settle(slot);
+        }
+    }
+
+    public void woken(Moment now) {
+        balance.woken(now);
+    }
+
+    private void settle(int slot) {
+        if (!answered[slot]) {
+            answered[slot] = true;
+            release(slot);
+        }
+    }
+
+    private void release(int slot) {
+        if (--pending[slot] == 0) {
+            slots.remove(tickets[slot]);
+            free[freeCount++] = slot;
+        }
+    }
+
+    // ---- What the decisions do.
+
+    @Override
+    public void execute(int statement, int node, Span timeout) {
+        pending[statement]++;
+        outside.execute(tickets[statement], executions[statement]++, nodes.get(node), timeout);
+    }
+
+    @Override
+    public void cancel(int statement, int execution) {
+        outside.cancel(tickets[statement], execution);
+    }
+
+    @Override
+    public void reject(int statement, Span comeBackAfter) {
+        if (!answered[statement]) {
+            outside.reject(tickets[statement], comeBackAfter);
+            settle(statement);
+        }
+    }
+
+    @Override
+    public void abort(int statement) {
+        if (!answered[statement]) {
+            outside.abort(tickets[statement]);
+            settle(statement);
+        }
+    }
+
+    @Override
+    public void poll(int node) {
+        outside.poll(nodes.get(node));
+    }
+
+    @Override
+    public void letGo(int node) {
+        outside.letGo(nodes.get(node));
+    }
+
+    @Override
+    public void watch() {
+        outside.watch();
+    }
+
+    @Override
+    public void wake(Span fromNow) {
+        outside.wake(fromNow);
+    }
+
+    @Override
+    public void note(String line) {
+        outside.note(line);
+    }
+}
--- a/src/main/java/basaltlever/adapter/Indices.java
+++ b/src/main/java/basaltlever/core/Indices.java
@@ -1,4 +1,4 @@
-package basaltlever.adapter;
+package basaltlever.core;
 
 import java.util.Arrays;
 
--- /dev/null
+++ b/src/main/java/basaltlever/core/Outside.java
@@ -0,0 +1,25 @@
+package basaltlever.core;
+
+import basaltlever.time.Span;
+
+/** What carries out decisions, in the ids of the outside: tickets for statements, names for nodes. */
+public interface Outside<N> {
+    /** A span of zero lasts as long as the client waits. */
+    void execute(long ticket, int execution, N node, Span timeout);
+
+    void cancel(long ticket, int execution);
+
+    void reject(long ticket, Span comeBackAfter);
+
+    void abort(long ticket);
+
+    void poll(N node);
+
+    void letGo(N node);
+
+    void watch();
+
+    void wake(Span fromNow);
+
+    void note(String line);
+}
--- /dev/null
+++ b/src/main/java/basaltlever/discovery/ChunkReader.java
@@ -0,0 +1,148 @@
+package basaltlever.discovery;
+
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** Reads one HTTP/1.1 answer byte by byte and hands on its body's lines, each as soon as it is whole. */
+public final class ChunkReader {
+    private static final int LONGEST_HEAD = 8_192;
+    private static final int LONGEST_LINE = 4 << 20;
+    private static final int LARGEST_CHUNK = 1 << 28;
+
+    private enum Part { STATUS, HEADER, SIZE, CHUNK, CHUNK_END, TRAILER, PLAIN, OVER }
+
+    private final Consumer<String> lines;
+    private final StringBuilder head = new StringBuilder();
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private Part part = Part.STATUS;
+    private boolean chunked;
+    private long left = -1;
+    private int headSize;
+
+    public ChunkReader(Consumer<String> lines) {
+        this.lines = lines;
+    }
+
+    /** True once the body has ended. */
+    public boolean isOver() {
+        return part == Part.OVER;
+    }
+
+    public void read(ByteBuf in) throws ListFault {
+        while (in.isReadable() && part != Part.OVER) {
+            if (part == Part.CHUNK || part == Part.PLAIN) {
+                body(in);
+            } else {
+                char c = (char) (in.readByte() & 0xff);
+                if (c == '\n') {
+                    String text = head.toString().trim();
+                    head.setLength(0);
+                    headLine(text);
+                } else if (++headSize > LONGEST_HEAD) {
+                    throw new ListFault("the head of an answer is too long");
+                } else {
+                    head.append(c);
+                }
+            }
+        }
+    }
+
+    private void headLine(String text) throws ListFault {
+        switch (part) {
+            case STATUS -> {
+                String[] words = text.split(" ", 3);
+                if (words.length < 2 || !words[0].startsWith("HTTP/1.")) {
+                    throw new ListFault("an answer begins with no status line");
+                }
+                if (!words[1].equals("200")) {
+                    throw new ListFault("a call ended with status " + words[1]);
+                }
+                part = Part.HEADER;
+            }
+            case HEADER -> {
+                if (text.isEmpty()) {
+                    part = chunked ? Part.SIZE : left == 0 ? Part.OVER : Part.PLAIN;
+                    headSize = 0;
+                } else {
+                    header(text.toLowerCase(java.util.Locale.ROOT));
+                }
+            }
+            case SIZE -> {
+                left = number(text.split(";", 2)[0].trim(), 16);
+                part = left == 0 ? Part.TRAILER : Part.CHUNK;
+                headSize = 0;
+            }
+            case CHUNK_END -> {
+                if (!text.isEmpty()) {
+                    throw new ListFault("a chunk is longer than stated");
+                }
+                part = Part.SIZE;
+            }
+            default -> {
+                if (text.isEmpty()) {
+                    over();
+                }
+            }
+        }
+    }
+
+    private void header(String text) throws ListFault {
+        int colon = text.indexOf(':');
+        String value = text.substring(colon + 1).trim();
+        if (text.startsWith("transfer-encoding:")) {
+            chunked = value.endsWith("chunked");
+        } else if (text.startsWith("content-length:")) {
+            left = number(value, 10);
+        }
+    }
+
+    private static long number(String text, int radix) throws ListFault {
+        if (text.matches("[0-9a-fA-F]{1,9}")) {
+            try {
+                long number = Long.parseLong(text, radix);
+                if (number <= LARGEST_CHUNK) {
+                    return number;
+                }
+            } catch (NumberFormatException e) {
+                // Named below.
+            }
+        }
+        throw new ListFault("an answer states a length of '" + text + "'");
+    }
+
+    private void body(ByteBuf in) throws ListFault {
+        int most = left < 0 ? in.readableBytes() : (int) Math.min(left, in.readableBytes());
+        int newline = in.indexOf(in.readerIndex(), in.readerIndex() + most, (byte) '\n');
+        int length = newline < 0 ? most : newline - in.readerIndex();
+        if (line.size() + length > LONGEST_LINE) {
+            throw new ListFault("a line of the list is too long");
+        }
+        byte[] bytes = new byte[length];
+        in.readBytes(bytes);
+        line.writeBytes(bytes);
+        if (newline >= 0) {
+            in.skipBytes(1);
+            lines.accept(line.toString(StandardCharsets.UTF_8));
+            line.reset();
+        }
+        if (left >= 0) {
+            left -= length + (newline >= 0 ? 1 : 0);
+            if (left == 0 && chunked) {
+                part = Part.CHUNK_END;
+            } else if (left == 0) {
+                over();
+            }
+        }
+    }
+
+    /** A whole list asked for once need not end in a newline; half a line that broke off is never handed on. */
+    private void over() {
+        part = Part.OVER;
+        if (line.size() > 0) {
+            lines.accept(line.toString(StandardCharsets.UTF_8));
+            line.reset();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/discovery/MemberList.java
@@ -0,0 +1,113 @@
+package basaltlever.discovery;
+
+import basaltlever.config.Addresses;
+import basaltlever.core.Core;
+import basaltlever.gateway.Listing;
+import basaltlever.json.Json;
+import basaltlever.json.JsonFault;
+import basaltlever.time.Moment;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Takes in lists of members and changes of them, from discovery or as held at the last start. */
+public final class MemberList {
+    private static final double LONGEST = 1e15;
+    private final Core<String> core;
+    private final List<String> zones;
+    private final BiConsumer<String, InetSocketAddress> addresses;
+    private long generation;
+
+    /** Hands each member's address on as it comes. */
+    public MemberList(Core<String> core, List<String> zones,
+                      BiConsumer<String, InetSocketAddress> addresses) {
+        this.core = core;
+        this.zones = zones;
+        this.addresses = addresses;
+    }
+
+    /** The version to ask for changes after. */
+    public long generation() {
+        return generation;
+    }
+
+    /** The next call brings the whole list. */
+    public void forget() {
+        generation = 0;
+    }
+
+    public static Map<?, ?> parse(String line) throws ListFault {
+        try {
+            if (Json.read(line) instanceof Map<?, ?> list) {
+                return list;
+            }
+        } catch (JsonFault fault) {
+            throw new ListFault("a line of the list is no JSON: " + fault.getMessage());
+        }
+        throw new ListFault("a line of the list is no object");
+    }
+
+    /** Throws before anything is taken in where the list is not sound. */
+    public void take(Moment now, Map<?, ?> list, boolean asked) throws ListFault {
+        boolean whole = Boolean.TRUE.equals(list.get("reset"));
+        long version = (long) number(list, "generation", 0);
+        if (!(list.get("instances") instanceof List<?> entries)) {
+            throw new ListFault("a list has no instances");
+        }
+        if (version < generation && !whole) {
+            // A service that lost its state counts anew: its changes don't belong to the list held here.
+            throw new ListFault("the list's generation went from " + generation + " back to " + version);
+        }
+        for (Object entry : entries) {
+            if (!(entry instanceof Map<?, ?> member) || !(member.get("instanceId") instanceof String)) {
+                throw new ListFault("an entry of the list has no instanceId");
+            }
+            if (state(member) != Listing.GONE && address(member) == null) {
+                throw new ListFault("entry " + member.get("instanceId") + " has no hostPort");
+            }
+            number(member, "cell", 0);
+            number(member, "weight", 1);
+            number(member, "startedAtMs", 0);
+        }
+        generation = version;
+        core.listBegins();
+        for (Object entry : entries) {
+            Map<?, ?> member = (Map<?, ?>) entry;
+            String id = (String) member.get("instanceId");
+            InetSocketAddress address = address(member);
+            if (address != null) {
+                addresses.accept(id, address);
+            }
+            long startedAt = (long) number(member, "startedAtMs", 0);
+            core.listed(now, id, state(member), (int) number(member, "cell", 0),
+                zones.indexOf(member.get("zone")), number(member, "weight", 1),
+                startedAt == 0 ? Moment.LONG_AGO : new Moment(startedAt * 1_000));
+        }
+        core.listEnds(now, whole, asked);
+    }
+
+    private static InetSocketAddress address(Map<?, ?> member) {
+        return member.get("hostPort") instanceof String text ? Addresses.parse(text) : null;
+    }
+
+    /** A state that is not known here is no invitation: nothing new goes there. */
+    private static Listing state(Map<?, ?> member) {
+        Object state = member.get("lifecycle");
+        return "in_service".equals(state) ? Listing.READY
+            : "terminated".equals(state) ? Listing.GONE : Listing.DRAINING;
+    }
+
+    private static double number(Map<?, ?> from, String name, double otherwise) throws ListFault {
+        Object value = from.get(name);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof BigDecimal number && number.doubleValue() >= 0
+            && number.doubleValue() <= LONGEST) {
+            return number.doubleValue();
+        }
+        throw new ListFault("the list's " + name + " is no number");
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/Carrier.java
@@ -0,0 +1,265 @@
+package basaltlever.net;
+
+import basaltlever.core.Core;
+import basaltlever.core.Gauges;
+import basaltlever.core.Outside;
+import basaltlever.gateway.Ending;
+import basaltlever.gateway.Role;
+import basaltlever.pg.Answer;
+import basaltlever.pg.Pg;
+import basaltlever.pg.Write;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.util.collection.LongObjectHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out on sockets what the decisions want, and brings them what became of it. */
+final class Carrier implements Outside<String> {
+    private static final Logger LOG = LoggerFactory.getLogger(Carrier.class);
+    private final Turn turn;
+    private final EventLoop loop;
+    private final Function<String, NodeLink> links;
+    private final Gauges gauges;
+    private final Span pollTimeout;
+    private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
+    private Core<String> core;
+    private Runnable watch;
+
+    Carrier(Turn turn, EventLoop loop, Function<String, NodeLink> links, Gauges gauges, Span pollTimeout) {
+        this.turn = turn;
+        this.loop = loop;
+        this.links = links;
+        this.gauges = gauges;
+        this.pollTimeout = pollTimeout;
+    }
+
+    void serve(Core<String> with, Runnable watchStarts) {
+        core = with;
+        watch = watchStarts;
+    }
+
+    // ---- Statements.
+
+    int open() {
+        return statements.size();
+    }
+
+    void add(Taken taken) {
+        statements.put(taken.ticket, taken);
+    }
+
+    /** Beyond what the settings allow to be open, before the decisions hear of it. */
+    void turnAway(Taken taken) {
+        turn.act(() -> {
+            taken.answered = true;
+            taken.client.answerError(Pg.TOO_MANY, "too many statements are open", null);
+            forget(taken);
+        });
+    }
+
+    void left(Taken taken) {
+        turn.hear(now -> {
+            taken.answered = true;
+            guarded(taken, () -> core.clientLeft(now, taken.ticket));
+            forget(taken);
+        });
+    }
+
+    /** A fault in the decisions must not cost the statement its answer. */
+    void guarded(Taken taken, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException fault) {
+            LOG.error("fault while deciding on statement {}", taken.ticket, fault);
+            turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the router failed", null));
+        }
+    }
+
+    private void settle(Taken taken, String code, String message, String detail) {
+        if (!taken.answered) {
+            taken.answered = true;
+            taken.client.answerError(code, message, detail);
+        }
+        forget(taken);
+    }
+
+    private void forget(Taken taken) {
+        if (taken.answered && taken.out == 0) {
+            statements.remove(taken.ticket);
+            if (taken.text.refCnt() > 0) {
+                taken.text.release();
+            }
+        }
+    }
+
+    // ---- What the decisions want.
+
+    @Override
+    public void execute(long ticket, int execution, String node, Span timeout) {
+        turn.act(() -> {
+            Taken taken = statements.get(ticket);
+            Span left = taken.clientLeaves.since(turn.now());
+            Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
+            Execution job = new Execution(taken, execution, turn.now().plus(limit));
+            taken.executions.add(job);
+            taken.out++;
+            if (limit.micros() <= 0) {
+                job.endLost(Ending.NEVER_SENT, Ending.NEVER_SENT);
+                return;
+            }
+            job.endsBy(loop.schedule(() -> job.giveUp(Ending.TIMED_OUT), limit.micros(),
+                TimeUnit.MICROSECONDS));
+            links.apply(node).start(job);
+        });
+    }
+
+    @Override
+    public void cancel(long ticket, int execution) {
+        turn.act(() -> {
+            Taken taken = statements.get(ticket);
+            if (taken != null && execution < taken.executions.size()) {
+                taken.executions.get(execution).giveUp(Ending.CANCELLED);
+            }
+        });
+    }
+
+    @Override
+    public void reject(long ticket, Span comeBackAfter) {
+        turn.act(() -> {
+            Taken taken = statements.get(ticket);
+            long millis = comeBackAfter.micros() / 1_000;
+            settle(taken, Pg.TOO_MANY, "nothing was done, try again", millis > 0 ? "" + millis : null);
+        });
+    }
+
+    @Override
+    public void abort(long ticket) {
+        turn.act(() -> settle(statements.get(ticket), Pg.UNKNOWN_EFFECT,
+            "the statement may or may not have had an effect", null));
+    }
+
+    @Override
+    public void poll(String node) {
+        turn.act(() -> {
+            Poll job = new Poll(node);
+            job.endsBy(loop.schedule(() -> job.giveUp(Ending.TIMED_OUT), pollTimeout.micros(),
+                TimeUnit.MICROSECONDS));
+            links.apply(node).start(job);
+        });
+    }
+
+    @Override
+    public void letGo(String node) {
+        turn.act(() -> links.apply(node).letGo());
+    }
+
+    @Override
+    public void watch() {
+        turn.act(watch);
+    }
+
+    @Override
+    public void wake(Span fromNow) {
+        turn.act(() -> loop.schedule(() -> turn.hear(core::woken), Math.max(1, fromNow.micros()),
+            TimeUnit.MICROSECONDS));
+    }
+
+    @Override
+    public void note(String line) {
+        LOG.info("{}", line);
+    }
+
+    // ---- What became of it.
+
+    private Role role(Answer answer) {
+        return answer.role.equals("master") ? Role.PRIMARY
+            : answer.role.equals("replica") ? Role.REPLICA : Role.UNTOLD;
+    }
+
+    private static Ending ending(Answer answer) {
+        String code = answer.error();
+        return answer.isRow() ? Ending.COMPLETED : code == null ? Ending.UNKNOWN : switch (code) {
+            case "25006", "72000" -> Ending.MISS;
+            case "53300" -> Ending.FULL;
+            case "XX000" -> Ending.ERROR;
+            default -> Ending.UNKNOWN;
+        };
+    }
+
+    private final class Execution extends Job {
+        private final Taken taken;
+        private final int number;
+        private final Moment until;
+
+        Execution(Taken taken, int number, Moment until) {
+            this.taken = taken;
+            this.number = number;
+            this.until = until;
+        }
+
+        @Override
+        void write(ByteBuf out) {
+            long left = Math.max(1, until.since(turn.clock().now()).micros());
+            Write.query(out, taken.text, taken.query.waitFrom, taken.query.waitTo, (left + 999) / 1_000);
+        }
+
+        @Override
+        void answered(Answer answer) {
+            turn.hear(now -> ended(now, ending(answer), answer));
+        }
+
+        @Override
+        void lost(Ending ending) {
+            turn.hear(now -> ended(now, ending, new Answer()));
+        }
+
+        private void ended(Moment now, Ending ending, Answer answer) {
+            taken.out--;
+            guarded(taken, () -> {
+                if (core.ended(now, taken.ticket, number, ending, role(answer),
+                    gauges.afterMillis(answer.position), false)) {
+                    taken.answered = true;
+                    var row = answer.takeRow();
+                    turn.act(() -> taken.client.answer(row));
+                }
+            });
+            answer.release();
+            forget(taken);
+        }
+    }
+
+    private final class Poll extends Job {
+        private final String node;
+
+        Poll(String node) {
+            this.node = node;
+        }
+
+        @Override
+        void write(ByteBuf out) {
+            Write.query(out, gauges.names.isEmpty() ? "SELECT 1" : "SHOW gauges");
+        }
+
+        @Override
+        void answered(Answer answer) {
+            Ending ending = ending(answer);
+            Role role = role(answer);
+            double[] values = gauges.values(answer.text());
+            answer.release();
+            turn.hear(now -> core.polled(now, node, ending,
+                gauges.primary < 0 ? role : gauges.role(gauges.value(values, gauges.primary)),
+                gauges.position(Math.nextDown(gauges.value(values, gauges.position))),
+                gauges.value(values, gauges.util)));
+        }
+
+        @Override
+        void lost(Ending ending) {
+            turn.hear(now -> core.polled(now, node, ending, Role.UNTOLD, Moment.LONG_AGO, Double.NaN));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/ClientConnection.java
@@ -0,0 +1,245 @@
+package basaltlever.net;
+
+import basaltlever.pg.Frames;
+import basaltlever.pg.Pg;
+import basaltlever.pg.PgFault;
+import basaltlever.pg.Query;
+import basaltlever.pg.Write;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One client: its statements are taken one after the other, in the order in which they came. */
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Descriptors.Idle {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
+    /** A value of 64 KiB in hexadecimal, with its statement. */
+    private static final int LARGEST = 1 << 18;
+    private static final int LARGEST_START = 1 << 13;
+
+    private enum State { STARTING, READY, BUSY, CLOSED }
+
+    private final Clients clients;
+    private Frames frames = new Frames(LARGEST_START);
+    private ChannelHandlerContext context;
+    private State state = State.STARTING;
+    private Taken taken;
+    /** After an error in the extended protocol all is skipped up to the next Sync. */
+    private boolean skipping;
+
+    ClientConnection(Clients clients) {
+        this.clients = clients;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext in, Object read) {
+        if (state == State.CLOSED) {
+            ((ByteBuf) read).release();
+            return;
+        }
+        frames.add((ByteBuf) read);
+        // With a statement under way, a client may send more ahead, but not without end.
+        if (state == State.BUSY && frames.size() > LARGEST) {
+            in.channel().config().setAutoRead(false);
+        }
+        pump();
+    }
+
+    private void pump() {
+        try {
+            while (state == State.STARTING || state == State.READY) {
+                ByteBuf message = state == State.STARTING ? frames.nextUntyped() : frames.next();
+                if (message == null) {
+                    return;
+                }
+                if (state == State.STARTING) {
+                    start(message);
+                } else {
+                    message(message);
+                }
+            }
+        } catch (PgFault fault) {
+            LOG.info("client {}: {}", context.channel().remoteAddress(), fault.getMessage());
+            fatal(fault.code, fault.getMessage());
+        }
+    }
+
+    private void start(ByteBuf message) throws PgFault {
+        if (message.readableBytes() < 8) {
+            throw new PgFault(Pg.VIOLATION, "a startup message is too short");
+        }
+        int version = message.getInt(message.readerIndex() + 4);
+        if (version == Pg.SSL || version == Pg.GSS) {
+            context.writeAndFlush(context.alloc().buffer(1).writeByte('N'));
+        } else if (version == Pg.CANCEL) {
+            // Nobody was given a key to cancel with.
+            close();
+        } else if (version >>> 16 != Pg.VERSION >>> 16) {
+            throw new PgFault(Pg.UNSUPPORTED, "protocol version " + (version >>> 16) + " is not spoken here");
+        } else {
+            ByteBuf out = context.alloc().buffer();
+            if (version != Pg.VERSION) {
+                Write.negotiate(out);
+            }
+            Write.welcome(out);
+            context.writeAndFlush(out);
+            Frames rest = new Frames(LARGEST);
+            frames.handOver(rest);
+            frames = rest;
+            ready();
+        }
+    }
+
+    private void message(ByteBuf message) throws PgFault {
+        byte type = message.readByte();
+        message.skipBytes(4);
+        if (type == Pg.TERMINATE) {
+            close();
+        } else if (type == Pg.SYNC) {
+            skipping = false;
+            reply(out -> { });
+        } else if (type == Pg.QUERY) {
+            skipping = false;
+            query(message);
+        } else if ("PBEDCHF".indexOf(type) >= 0) {
+            if (!skipping) {
+                skipping = type != 'F';
+                ByteBuf out = context.alloc().buffer();
+                Write.error(out, "ERROR", Pg.UNSUPPORTED, "only simple queries are taken here", null);
+                if (type == 'F') {
+                    Write.ready(out);
+                }
+                context.writeAndFlush(out);
+            }
+        } else if ("dcf".indexOf(type) < 0) {
+            throw new PgFault(Pg.VIOLATION, "a message of unknown type " + type);
+        }
+    }
+
+    private void query(ByteBuf message) throws PgFault {
+        int last = message.writerIndex() - 1;
+        if (!message.isReadable() || message.getByte(last) != 0) {
+            throw new PgFault(Pg.VIOLATION, "a query does not end in a zero byte");
+        }
+        ByteBuf text = message.slice(message.readerIndex(), message.readableBytes() - 1);
+        String idle = Query.idleCommand(text);
+        if (Query.isBlank(text)) {
+            reply(Write::empty);
+        } else if (idle != null) {
+            reply(out -> Write.complete(out, idle));
+        } else {
+            take(text);
+        }
+    }
+
+    private void take(ByteBuf text) {
+        try {
+            Query query = Query.read(text);
+            int workload = clients.workload(query);
+            state = State.BUSY;
+            clients.descriptors().busy(this);
+            // It outlives the buffer that it was read into: later executions send it again.
+            ByteBuf kept = context.alloc().buffer(text.readableBytes()).writeBytes(text);
+            taken = clients.take(this, kept, query, workload);
+        } catch (PgFault fault) {
+            LOG.info("client {}: {}", context.channel().remoteAddress(), fault.getMessage());
+            reply(out -> Write.error(out, "ERROR", fault.code, fault.getMessage(), null));
+        }
+    }
+
+    private void reply(java.util.function.Consumer<ByteBuf> what) {
+        ByteBuf out = context.alloc().buffer();
+        what.accept(out);
+        Write.ready(out);
+        context.writeAndFlush(out);
+    }
+
+    /** The final answer as a node gave it; the slices are taken over. */
+    void answer(List<ByteBuf> row) {
+        if (state != State.BUSY) {
+            row.forEach(ByteBuf::release);
+            return;
+        }
+        row.forEach(context::write);
+        reply(out -> { });
+        next();
+    }
+
+    void answerError(String code, String message, String detail) {
+        if (state == State.BUSY) {
+            reply(out -> Write.error(out, "ERROR", code, message, detail));
+            next();
+        }
+    }
+
+    private void next() {
+        taken = null;
+        if (clients.closesIdle()) {
+            closeIdle();
+            return;
+        }
+        ready();
+        context.channel().config().setAutoRead(true);
+        pump();
+    }
+
+    private void ready() {
+        state = State.READY;
+        clients.descriptors().idle(this, true);
+    }
+
+    /** Between statements a client's connection may be closed; what crosses that, the client sends again. */
+    @Override
+    public void closeIdle() {
+        if (state != State.CLOSED) {
+            gone();
+            context.writeAndFlush(context.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    boolean isBusy() {
+        return state == State.BUSY;
+    }
+
+    private void fatal(String code, String message) {
+        ByteBuf out = context.alloc().buffer();
+        Write.error(out, "FATAL", code, message, null);
+        gone();
+        context.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void close() {
+        gone();
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext in) {
+        gone();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext in, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            LOG.error("fault on the connection of client {}", in.channel().remoteAddress(), cause);
+        }
+        close();
+    }
+
+    private void gone() {
+        if (state != State.CLOSED) {
+            state = State.CLOSED;
+            frames.release();
+            clients.closed(this, taken);
+            taken = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/Clients.java
@@ -0,0 +1,103 @@
+package basaltlever.net;
+
+import basaltlever.core.Core;
+import basaltlever.pg.Pg;
+import basaltlever.pg.PgFault;
+import basaltlever.pg.Query;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+
+/** The clients' connections, and the way of their statements to the decisions. */
+final class Clients {
+    private final Turn turn;
+    private final Descriptors descriptors;
+    private final List<String> workloadNames;
+    private final int mostOpen;
+    private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
+    private Core<String> core;
+    private Carrier carrier;
+    private long tickets;
+    private boolean closesIdle;
+
+    Clients(Turn turn, Descriptors descriptors, List<String> workloadNames, int mostOpen) {
+        this.turn = turn;
+        this.descriptors = descriptors;
+        this.workloadNames = workloadNames;
+        this.mostOpen = mostOpen;
+    }
+
+    void serve(Core<String> with, Carrier by) {
+        core = with;
+        carrier = by;
+    }
+
+    Descriptors descriptors() {
+        return descriptors;
+    }
+
+    /** A new connection, or null where there is no room for one. */
+    ClientConnection admit() {
+        if (!descriptors.admitsClient()) {
+            return null;
+        }
+        ClientConnection connection = new ClientConnection(this);
+        connections.add(connection);
+        return connection;
+    }
+
+    int workload(Query query) throws PgFault {
+        int workload = workloadNames.indexOf(query.workload);
+        if (workload < 0) {
+            throw new PgFault(Pg.VIOLATION, "the workload " + query.workload + " is unknown");
+        }
+        return workload;
+    }
+
+    /** Takes the text over. */
+    Taken take(ClientConnection client, ByteBuf text, Query query, int workload) {
+        Taken taken = new Taken(++tickets, client, text, query);
+        turn.hear(now -> {
+            taken.clientLeaves = now.plus(Span.ofMillis(query.waitMillis));
+            if (carrier.open() >= mostOpen) {
+                carrier.turnAway(taken);
+                return;
+            }
+            carrier.add(taken);
+            carrier.guarded(taken, () -> core.taken(now, taken.ticket, workload, query.group, query.session,
+                taken.clientLeaves, query.after == 0 ? Moment.LONG_AGO : new Moment(query.after * 1_000)));
+        });
+        return taken;
+    }
+
+    void closed(ClientConnection connection, Taken taken) {
+        if (connections.remove(connection)) {
+            descriptors.busy(connection);
+            descriptors.clientClosed();
+        }
+        if (taken != null) {
+            carrier.left(taken);
+        }
+    }
+
+    /** From here on connections end with their statements. */
+    void closeIdle() {
+        closesIdle = true;
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            if (!connection.isBusy()) {
+                connection.closeIdle();
+            }
+        }
+    }
+
+    boolean closesIdle() {
+        return closesIdle;
+    }
+
+    boolean areGone() {
+        return connections.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/Job.java
@@ -0,0 +1,73 @@
+package basaltlever.net;
+
+import basaltlever.gateway.Ending;
+import basaltlever.pg.Answer;
+import io.netty.buffer.ByteBuf;
+import io.netty.util.concurrent.Future;
+
+/** One query to one node: an execution or a poll. It ends once, with an answer or with the loss of it. */
+abstract class Job {
+    private NodeConnection connection;
+    private Future<?> limit;
+    /** Whether its last byte was written: before, it is proven that nothing ran. */
+    private boolean written;
+    private boolean over;
+
+    abstract void write(ByteBuf out);
+
+    /** The answer is the job's to release. */
+    abstract void answered(Answer answer);
+
+    abstract void lost(Ending ending);
+
+    final void on(NodeConnection connection) {
+        this.connection = connection;
+    }
+
+    final void endsBy(Future<?> limit) {
+        this.limit = limit;
+    }
+
+    final void wasWritten() {
+        written = true;
+    }
+
+    final boolean isOver() {
+        return over;
+    }
+
+    final void endAnswered(Answer answer) {
+        if (end()) {
+            answered(answer);
+        } else {
+            answer.release();
+        }
+    }
+
+    final void endLost(Ending before, Ending after) {
+        if (end()) {
+            lost(written ? after : before);
+        }
+    }
+
+    /** Stops waiting: the connection can't be used again, since the answer may still come on it. */
+    final void giveUp(Ending after) {
+        NodeConnection in = connection;
+        endLost(Ending.NEVER_SENT, after);
+        if (in != null) {
+            in.close();
+        }
+    }
+
+    private boolean end() {
+        if (over) {
+            return false;
+        }
+        over = true;
+        connection = null;
+        if (limit != null) {
+            limit.cancel(false);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/NodeConnection.java
@@ -0,0 +1,190 @@
+package basaltlever.net;
+
+import basaltlever.gateway.Ending;
+import basaltlever.pg.Answer;
+import basaltlever.pg.Frames;
+import basaltlever.pg.Pg;
+import basaltlever.pg.PgFault;
+import basaltlever.pg.Write;
+import basaltlever.time.Moment;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One connection to a node, with one query on it at a time. */
+final class NodeConnection extends ChannelInboundHandlerAdapter implements Descriptors.Idle {
+    private static final Logger LOG = LoggerFactory.getLogger(NodeConnection.class);
+    /** A value of 64 KiB as text with its message. */
+    private static final int LARGEST = 1 << 18;
+
+    private enum State { OPENING, IDLE, BUSY, CLOSED }
+
+    private final NodeLink link;
+    private final Frames frames = new Frames(LARGEST);
+    private Channel channel;
+    private State state = State.OPENING;
+    private Job job;
+    private Answer answer;
+    private Future<?> upBy;
+    private Moment idleSince;
+
+    /** Opens it for the job, which is its own until the job is over. */
+    NodeConnection(NodeLink link, Job job) {
+        this.link = link;
+        this.job = job;
+        job.on(this);
+    }
+
+    void opens(Channel opening, long micros) {
+        channel = opening;
+        upBy = opening.eventLoop().schedule(() -> {
+            if (state == State.OPENING) {
+                close();
+            }
+        }, micros, TimeUnit.MICROSECONDS);
+    }
+
+    Moment idleSince() {
+        return idleSince;
+    }
+
+    void run(Job next) {
+        state = State.BUSY;
+        job = next;
+        next.on(this);
+        answer = new Answer();
+        ByteBuf out = channel.alloc().buffer();
+        next.write(out);
+        channel.writeAndFlush(out).addListener(done -> {
+            if (done.isSuccess()) {
+                next.wasWritten();
+            }
+        });
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        ByteBuf out = context.alloc().buffer();
+        Write.startup(out, "app", "shop");
+        context.writeAndFlush(out);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object in) throws PgFault {
+        if (state == State.CLOSED) {
+            ((ByteBuf) in).release();
+            return;
+        }
+        frames.add((ByteBuf) in);
+        for (ByteBuf m = frames.next(); m != null && state != State.CLOSED; m = frames.next()) {
+            message(m);
+        }
+    }
+
+    private void message(ByteBuf message) throws PgFault {
+        byte type = message.getByte(message.readerIndex());
+        if (state == State.BUSY) {
+            if (answer.add(message)) {
+                finished();
+            }
+        } else if (type == Pg.READY && state == State.OPENING) {
+            upBy.cancel(false);
+            Job first = job;
+            idle();
+            link.up(this, first);
+        } else if (type == Pg.ERROR && state == State.OPENING) {
+            LOG.debug("{} turned a connection away: {}", link, Answer.field(message, 'C'));
+            close();
+        } else if (type == Pg.ERROR && state == State.IDLE) {
+            close();
+        } else if (type != Pg.STATUS && type != Pg.NOTICE && type != Pg.KEY
+            && !(type == Pg.AUTHENTICATION && state == State.OPENING && isAdmission(message))) {
+            throw new PgFault(Pg.VIOLATION, "a message of type " + type + " that nobody asked for");
+        }
+    }
+
+    private static boolean isAdmission(ByteBuf message) {
+        return message.readableBytes() == Frames.HEAD + 4
+            && message.getInt(message.readerIndex() + Frames.HEAD) == 0;
+    }
+
+    private void finished() {
+        Job done = job;
+        Answer whole = answer;
+        answer = null;
+        if (whole.isRow() || whole.error() != null) {
+            idle();
+            done.endAnswered(whole);
+            link.free(this);
+        } else {
+            LOG.warn("{} answered a query with what is no answer", link);
+            done.endAnswered(whole);
+            close();
+        }
+    }
+
+    private void idle() {
+        state = State.IDLE;
+        job = null;
+        idleSince = link.now();
+    }
+
+    @Override
+    public void closeIdle() {
+        close();
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+        gone();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        gone();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof PgFault) {
+            LOG.warn("{} broke the protocol: {}", link, cause.getMessage());
+        } else if (!(cause instanceof java.io.IOException)) {
+            LOG.error("fault on a connection to {}", link, cause);
+        }
+        close();
+    }
+
+    /** Once, however the connection ended. */
+    void gone() {
+        if (state == State.CLOSED) {
+            return;
+        }
+        state = State.CLOSED;
+        if (upBy != null) {
+            upBy.cancel(false);
+        }
+        frames.release();
+        link.closed(this);
+        Job lost = job;
+        job = null;
+        if (lost != null && answer != null && answer.error() != null) {
+            // A fatal error needs no ReadyForQuery: what it says was proven before the end.
+            lost.endAnswered(answer);
+        } else if (lost != null) {
+            lost.endLost(Ending.NO_CONNECTION, Ending.RESET);
+            if (answer != null) {
+                answer.release();
+            }
+        } else if (answer != null) {
+            answer.release();
+        }
+        answer = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/NodeLink.java
@@ -0,0 +1,135 @@
+package basaltlever.net;
+
+import basaltlever.gateway.Ending;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.concurrent.TimeUnit;
+
+/** The connections to one node: those idle are used again, the latest first, and closed in time. */
+final class NodeLink {
+    private final String name;
+    private final Bootstrap bootstrap;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Descriptors descriptors;
+    private final Span connectTimeout;
+    private final Span keptFor;
+    private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private boolean sweeping;
+
+    /** An idle connection is closed a connect time-out before the node may: a path can take that long. */
+    NodeLink(String name, Bootstrap bootstrap, EventLoop loop, Clock clock, Descriptors descriptors,
+             Span connectTimeout, Span idleClose) {
+        this.name = name;
+        this.bootstrap = bootstrap;
+        this.loop = loop;
+        this.clock = clock;
+        this.descriptors = descriptors;
+        this.connectTimeout = connectTimeout;
+        this.keptFor = idleClose.minus(connectTimeout).longer(Span.NONE);
+    }
+
+    Moment now() {
+        return clock.now();
+    }
+
+    void at(InetSocketAddress now) {
+        if (!now.equals(address)) {
+            letGo();
+            address = now;
+        }
+    }
+
+    void start(Job job) {
+        NodeConnection next = idle.pollFirst();
+        if (next != null && !isStale(next)) {
+            descriptors.busy(next);
+            next.run(job);
+        } else {
+            if (next != null) {
+                idle.addFirst(next);
+                letGo();
+            }
+            open(job);
+        }
+    }
+
+    private boolean isStale(NodeConnection connection) {
+        return now().since(connection.idleSince()).isLongerThan(keptFor);
+    }
+
+    private void open(Job job) {
+        if (address == null || !descriptors.admitsNode()) {
+            job.endLost(Ending.NO_CONNECTION, Ending.RESET);
+            return;
+        }
+        NodeConnection connection = new NodeConnection(this, job);
+        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(connection);
+            }
+        }).connect(address);
+        connection.opens(opening.channel(), connectTimeout.micros());
+        opening.addListener(done -> {
+            if (!done.isSuccess()) {
+                connection.gone();
+            }
+        });
+    }
+
+    /** A connection stands; its job may have ended meanwhile. */
+    void up(NodeConnection connection, Job first) {
+        if (first.isOver()) {
+            free(connection);
+        } else {
+            connection.run(first);
+        }
+    }
+
+    void free(NodeConnection connection) {
+        idle.addFirst(connection);
+        descriptors.idle(connection, false);
+        sweepLater();
+    }
+
+    void closed(NodeConnection connection) {
+        idle.remove(connection);
+        descriptors.busy(connection);
+        descriptors.nodeClosed();
+    }
+
+    void letGo() {
+        new ArrayList<>(idle).forEach(NodeConnection::close);
+    }
+
+    private void sweepLater() {
+        if (!sweeping && !idle.isEmpty()) {
+            sweeping = true;
+            long left = keptFor.minus(now().since(idle.peekLast().idleSince())).micros();
+            loop.schedule(this::sweep, Math.max(1_000, left), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void sweep() {
+        sweeping = false;
+        while (!idle.isEmpty() && !now().since(idle.peekLast().idleSince()).isShorterThan(keptFor)) {
+            idle.peekLast().close();
+        }
+        sweepLater();
+    }
+
+    @Override
+    public String toString() {
+        return name + " at " + address;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/Router.java
@@ -0,0 +1,177 @@
+package basaltlever.net;
+
+import basaltlever.config.StartFault;
+import basaltlever.config.StartFile;
+import basaltlever.config.StartValues;
+import basaltlever.core.Core;
+import basaltlever.core.Gauges;
+import basaltlever.discovery.ListFault;
+import basaltlever.discovery.MemberList;
+import basaltlever.time.Span;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.File;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One router from its start file to its exit; its phase says how far it is. */
+public final class Router {
+    private static final Logger LOG = LoggerFactory.getLogger(Router.class);
+    /** After the signal to end, new connections keep coming for up to 0.4 s. */
+    private static final Span STILL_LISTENS = Span.ofMillis(500);
+    /** What is still unanswered this long after the last statement's time was up never will be. */
+    private static final Span LINGERS = Span.ofMillis(200);
+    private static final Span LOOK_AGAIN = Span.ofMillis(10);
+    /** Sockets of the loop, the listener and discovery, and files that the runtime opens late. */
+    private static final int RESERVED = 24;
+    private static final int PAGE = 8_192;
+    private static final int CHUNK_ORDER = 6;
+    private static final int BACKLOG = 512;
+
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final Map<String, NodeLink> links = new HashMap<>();
+    private Phase phase = Phase.READING;
+    private MultiThreadIoEventLoopGroup group;
+    private SingleThreadEventLoop loop;
+    private Channel listener;
+    private Clients clients;
+    private Carrier carrier;
+    private Span longestTimeout;
+
+    /** Reads, listens, and returns once it serves. */
+    public void start(Path file) throws StartFault, InterruptedException {
+        StartFile start = StartFile.read(file);
+        enter(Phase.LISTENING);
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = (SingleThreadEventLoop) group.next();
+        ChannelFuture bound = loop.submit(() -> build(start)).sync().getNow();
+        if (!bound.await().isSuccess()) {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            throw new StartFault(List.of("listen: " + start.listen() + " can't be bound: "
+                + bound.cause().getMessage()));
+        }
+        listener = bound.channel();
+        loop.submit(() -> enter(Phase.SERVING)).sync();
+        LOG.info("{} serves at {}", start.name(), start.listen());
+    }
+
+    private ChannelFuture build(StartFile start) {
+        StartValues values = start.values();
+        Clock clock = new Clock();
+        Turn turn = new Turn(loop, clock);
+        ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
+        Descriptors descriptors = new Descriptors(start.sockets() - inUse() - RESERVED);
+        Bootstrap outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (values.connectTimeout().micros() / 1_000));
+        Gauges gauges = values.gauges(0);
+        carrier = new Carrier(turn, loop, node -> links.computeIfAbsent(node, name -> new NodeLink(name,
+            outwards, loop, clock, descriptors, values.connectTimeout(), values.idleClose())), gauges,
+            values.connectTimeout());
+        clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen());
+        longestTimeout = values.longestTimeout();
+        Core<String> core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
+        MemberList list = new MemberList(core, values.zones(), (node, address) ->
+            links.computeIfAbsent(node, name -> new NodeLink(name, outwards, loop, clock, descriptors,
+                values.connectTimeout(), values.idleClose())).at(address));
+        Watch watch = new Watch(outwards, start.discovery(), turn, list, core);
+        clients.serve(core, carrier);
+        carrier.serve(core, watch::start);
+        turn.hear(now -> {
+            try {
+                if (start.known().containsKey("instances")) {
+                    list.take(now, start.known(), false);
+                } else {
+                    core.woken(now);
+                }
+            } catch (ListFault fault) {
+                LOG.warn("the known list is left out: {}", fault.getMessage());
+                list.forget();
+                core.woken(now);
+            }
+        });
+        return new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    ClientConnection connection = clients.admit();
+                    if (connection == null) {
+                        channel.close();
+                    } else {
+                        channel.pipeline().addLast(connection);
+                    }
+                }
+            }).bind(start.listen());
+    }
+
+    /** Open descriptors now; where that can't be seen, as many as a runtime commonly holds. */
+    private static int inUse() {
+        String[] open = new File("/proc/self/fd").list();
+        return open == null ? RESERVED : open.length;
+    }
+
+    private void enter(Phase next) {
+        if (next.ordinal() > phase.ordinal()) {
+            LOG.info("phase {} after {}", next, phase);
+            phase = next;
+        }
+    }
+
+    /** Goes on serving while clients may still come, then answers what it took and stops. */
+    public void drain() {
+        if (stopped.getCount() == 0) {
+            return;
+        }
+        loop.execute(() -> {
+            if (phase == Phase.SERVING) {
+                enter(Phase.DRAINING);
+                loop.schedule(() -> {
+                    listener.close();
+                    clients.closeIdle();
+                    stopOnceAnswered();
+                }, STILL_LISTENS.micros(), TimeUnit.MICROSECONDS);
+                loop.schedule(this::stop, STILL_LISTENS.plus(longestTimeout).plus(LINGERS).micros(),
+                    TimeUnit.MICROSECONDS);
+            } else if (phase != Phase.DRAINING) {
+                stop();
+            }
+        });
+    }
+
+    private void stopOnceAnswered() {
+        if (clients.areGone() && carrier.open() == 0) {
+            stop();
+        } else if (phase == Phase.DRAINING) {
+            loop.schedule(this::stopOnceAnswered, LOOK_AGAIN.micros(), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void stop() {
+        enter(Phase.STOPPED);
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        stopped.countDown();
+    }
+
+    public void awaitStop() throws InterruptedException {
+        stopped.await();
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/net/Taken.java
@@ -0,0 +1,28 @@
+package basaltlever.net;
+
+import basaltlever.pg.Query;
+import basaltlever.time.Moment;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A statement taken from a client, with its text until nothing needs that any more. */
+final class Taken {
+    final long ticket;
+    final ClientConnection client;
+    final ByteBuf text;
+    final Query query;
+    /** By the count that the decisions give them. */
+    final List<Job> executions = new ArrayList<>(2);
+    Moment clientLeaves;
+    int out;
+    boolean answered;
+
+    /** Takes the text over. */
+    Taken(long ticket, ClientConnection client, ByteBuf text, Query query) {
+        this.ticket = ticket;
+        this.client = client;
+        this.text = text;
+        this.query = query;
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/pg/Answer.java
@@ -0,0 +1,123 @@
+package basaltlever.pg;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a node says to one query, up to its ReadyForQuery. */
+public final class Answer {
+    private static final int LONGEST_TEXT = 1_024;
+    private static final long LATEST = Long.MAX_VALUE / 4_000;
+
+    /** The row as it was read, each slice owned here until it is taken or released. */
+    private final List<ByteBuf> row = new ArrayList<>(3);
+    private final StringBuilder order = new StringBuilder();
+    private String value;
+    private String error;
+    private boolean spoilt;
+    public String role = "";
+    public String gauges = "";
+    /** Unix milliseconds, 0 where none was told. */
+    public long position;
+
+    /** True once the answer is whole. */
+    public boolean add(ByteBuf message) throws PgFault {
+        byte type = message.getByte(message.readerIndex());
+        switch (type) {
+            case Pg.ROW_DESCRIPTION, Pg.DATA_ROW, Pg.COMPLETE -> {
+                order.append((char) type);
+                spoilt |= order.length() > 3 || type != Pg.COMPLETE && columns(message) != 1;
+                if (!spoilt) {
+                    row.add(message.retainedSlice());
+                }
+            }
+            case Pg.ERROR -> {
+                spoilt |= error != null || order.length() > 0;
+                error = field(message, 'C');
+            }
+            case Pg.STATUS -> status(message);
+            case Pg.READY -> {
+                return true;
+            }
+            case Pg.EMPTY -> spoilt = true;
+            case Pg.NOTICE, Pg.KEY -> { }
+            default -> throw new PgFault(Pg.VIOLATION, "a node sent a message of type " + type);
+        }
+        return false;
+    }
+
+    /** One row of one column, whole: only then was anything completed. */
+    public boolean isRow() {
+        return !spoilt && error == null && order.toString().equals("TDC");
+    }
+
+    /** The code of an error that stands alone, or null: an error behind a row proves nothing. */
+    public String error() {
+        return spoilt ? null : error;
+    }
+
+    /** Its slices, which are the caller's from here on. */
+    public List<ByteBuf> takeRow() {
+        List<ByteBuf> taken = List.copyOf(row);
+        row.clear();
+        return taken;
+    }
+
+    /** The row's only value as text; empty where there is none. */
+    public String text() {
+        if (!isRow() || row.size() < 2) {
+            return "";
+        }
+        ByteBuf data = row.get(1);
+        int at = data.readerIndex() + Frames.HEAD + 2;
+        int length = data.readableBytes() < Frames.HEAD + 6 ? -1 : data.getInt(at);
+        return length < 0 || length > LONGEST_TEXT || at + 4 + length > data.writerIndex() ? ""
+            : data.toString(at + 4, length, StandardCharsets.UTF_8);
+    }
+
+    public void release() {
+        row.forEach(ByteBuf::release);
+        row.clear();
+    }
+
+    private static int columns(ByteBuf message) {
+        return message.readableBytes() < Frames.HEAD + 2 ? -1
+            : message.getShort(message.readerIndex() + Frames.HEAD);
+    }
+
+    private void status(ByteBuf message) {
+        int at = message.readerIndex() + Frames.HEAD;
+        int end = message.indexOf(at, message.writerIndex(), (byte) 0);
+        int last = end < 0 ? -1 : message.indexOf(end + 1, message.writerIndex(), (byte) 0);
+        if (last < 0 || last - at > LONGEST_TEXT) {
+            return;
+        }
+        String name = message.toString(at, end - at, StandardCharsets.UTF_8);
+        String told = message.toString(end + 1, last - end - 1, StandardCharsets.UTF_8);
+        switch (name) {
+            case "part" -> role = told;
+            case "gauges" -> gauges = told;
+            case "caught_up_to" -> position = told.matches("[0-9]{1,15}")
+                ? Math.min(LATEST, Long.parseLong(told)) : 0;
+            default -> { }
+        }
+    }
+
+    /** A field of an error or notice, empty where it is missing. */
+    public static String field(ByteBuf message, char name) {
+        int at = message.readerIndex() + Frames.HEAD;
+        while (at < message.writerIndex() && message.getByte(at) != 0) {
+            int end = message.indexOf(at + 1, message.writerIndex(), (byte) 0);
+            if (end < 0) {
+                return "";
+            }
+            if (message.getByte(at) == name) {
+                return message.toString(at + 1, Math.min(LONGEST_TEXT, end - at - 1),
+                    StandardCharsets.UTF_8);
+            }
+            at = end + 1;
+        }
+        return "";
+    }
+}
--- /dev/null
+++ b/src/main/java/basaltlever/pg/Frames.java
@@ -0,0 +1,92 @@
+package basaltlever.pg;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Cuts messages out of what is read. A message is a slice of the buffer that it was read into; what has not
+ * come whole is kept until it has, so there is one copy at most, and only of messages that come in pieces.
+ */
+public final class Frames {
+    /** Type byte and length. */
+    public static final int HEAD = 5;
+    private static final int PIECE = 512;
+
+    private final int largest;
+    /** Owned here; null where all that came was used. */
+    private ByteBuf kept;
+
+    /** No message may be larger, so that no peer can fill the memory. */
+    public Frames(int largest) {
+        this.largest = largest;
+    }
+
+    /** Takes the buffer over. */
+    public void add(ByteBuf in) {
+        if (kept == null || !kept.isReadable()) {
+            release();
+            kept = in;
+            return;
+        }
+        try {
+            int total = kept.readableBytes() + in.readableBytes();
+            // Slices of the old buffer may be held elsewhere: it is only ever written behind them, or left.
+            if (kept.capacity() - kept.writerIndex() < in.readableBytes()) {
+                ByteBuf larger = in.alloc().buffer(Math.max(PIECE, 2 * total));
+                larger.writeBytes(kept);
+                kept.release();
+                kept = larger;
+            }
+            kept.writeBytes(in);
+        } finally {
+            in.release();
+        }
+    }
+
+    /** The next whole message with its head, valid until the next call, or null. */
+    public ByteBuf next() throws PgFault {
+        if (size() < HEAD) {
+            return spent();
+        }
+        return cut(kept.getInt(kept.readerIndex() + 1), 1);
+    }
+
+    /** As next, for the messages before the start, which have no type byte. */
+    public ByteBuf nextUntyped() throws PgFault {
+        if (size() < HEAD - 1) {
+            return spent();
+        }
+        return cut(kept.getInt(kept.readerIndex()), 0);
+    }
+
+    private ByteBuf cut(int length, int before) throws PgFault {
+        if (length < HEAD - 1 || length > largest) {
+            throw new PgFault(length > largest ? Pg.TOO_LARGE : Pg.VIOLATION,
+                "a message states a length of " + length);
+        }
+        return kept.readableBytes() < length + before ? null : kept.readSlice(length + before);
+    }
+
+    private ByteBuf spent() {
+        if (kept != null && !kept.isReadable()) {
+            release();
+        }
+        return null;
+    }
+
+    public int size() {
+        return kept == null ? 0 : kept.readableBytes();
+    }
+
+    /** What has come beyond the messages so far goes on in another. */
+    public void handOver(Frames to) {
+        to.kept = kept;
+        kept = null;
+    }
+
+    public void release() {
+        if (kept != null) {
+            kept.release();
+            kept = null;
+        }
+    }
+}
