Memory budget, executions counted from the decision on, connections still opening are kept

Seen by reading: a client that left between a decision and its carrying out left an execution that the core never heard the end of (Carrier.execute); slow peers could fill the direct memory (Frames); reading went on for clients that take no answers (ClientConnection.pump).

--- a/src/main/java/basaltlever/net/Carrier.java
+++ b/src/main/java/basaltlever/net/Carrier.java
@@ -6,6 +6,7 @@
 import basaltlever.gateway.Ending;
 import basaltlever.gateway.Role;
 import basaltlever.pg.Answer;
+import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
 import basaltlever.pg.Write;
 import basaltlever.time.Moment;
@@ -26,16 +27,19 @@
     private final Function<String, NodeLink> links;
     private final Gauges gauges;
     private final Span pollTimeout;
+    private final Budget budget;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
     private Core<String> core;
     private Runnable watch;
 
-    Carrier(Turn turn, EventLoop loop, Function<String, NodeLink> links, Gauges gauges, Span pollTimeout) {
+    Carrier(Turn turn, EventLoop loop, Function<String, NodeLink> links, Gauges gauges, Span pollTimeout,
+            Budget budget) {
         this.turn = turn;
         this.loop = loop;
         this.links = links;
         this.gauges = gauges;
         this.pollTimeout = pollTimeout;
+        this.budget = budget;
     }
 
     void serve(Core<String> with, Runnable watchStarts) {
@@ -55,11 +59,7 @@
 
     /** Beyond what the settings allow to be open, before the decisions hear of it. */
     void turnAway(Taken taken) {
-        turn.act(() -> {
-            taken.answered = true;
-            taken.client.answerError(Pg.TOO_MANY, "too many statements are open", null);
-            forget(taken);
-        });
+        turn.act(() -> settle(taken, Pg.TOO_MANY, "too many statements are open", null));
     }
 
     void left(Taken taken) {
@@ -76,7 +76,10 @@
             step.run();
         } catch (RuntimeException fault) {
             LOG.error("fault while deciding on statement {}", taken.ticket, fault);
-            turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the router failed", null));
+            if (!taken.answered) {
+                turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the router failed", null));
+                left(taken);
+            }
         }
     }
 
@@ -89,26 +92,27 @@
     }
 
     private void forget(Taken taken) {
-        if (taken.answered && taken.out == 0) {
+        if (taken.answered && taken.out == 0 && !taken.forgotten) {
+            taken.forgotten = true;
             statements.remove(taken.ticket);
-            if (taken.text.refCnt() > 0) {
-                taken.text.release();
-            }
+            budget.release(taken.text.capacity());
+            taken.text.release();
         }
     }
 
     // ---- What the decisions want.
 
+    /** Counted as out from the decision on, so that the core hears of its end whatever comes between. */
     @Override
     public void execute(long ticket, int execution, String node, Span timeout) {
+        Taken taken = statements.get(ticket);
+        Span left = taken.clientLeaves.since(turn.now());
+        Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
+        Execution job = new Execution(taken, execution, turn.now().plus(limit));
+        taken.executions.add(job);
+        taken.out++;
         turn.act(() -> {
-            Taken taken = statements.get(ticket);
-            Span left = taken.clientLeaves.since(turn.now());
-            Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
-            Execution job = new Execution(taken, execution, turn.now().plus(limit));
-            taken.executions.add(job);
-            taken.out++;
-            if (limit.micros() <= 0) {
+            if (taken.answered || limit.micros() <= 0) {
                 job.endLost(Ending.NEVER_SENT, Ending.NEVER_SENT);
                 return;
             }
@@ -120,27 +124,23 @@
 
     @Override
     public void cancel(long ticket, int execution) {
-        turn.act(() -> {
-            Taken taken = statements.get(ticket);
-            if (taken != null && execution < taken.executions.size()) {
-                taken.executions.get(execution).giveUp(Ending.CANCELLED);
-            }
-        });
+        Taken taken = statements.get(ticket);
+        turn.act(() -> taken.executions.get(execution).giveUp(Ending.CANCELLED));
     }
 
     @Override
     public void reject(long ticket, Span comeBackAfter) {
-        turn.act(() -> {
-            Taken taken = statements.get(ticket);
-            long millis = comeBackAfter.micros() / 1_000;
-            settle(taken, Pg.TOO_MANY, "nothing was done, try again", millis > 0 ? "" + millis : null);
-        });
+        Taken taken = statements.get(ticket);
+        long millis = comeBackAfter.micros() / 1_000;
+        turn.act(() -> settle(taken, Pg.TOO_MANY, "nothing was done, try again",
+            millis > 0 ? "" + millis : null));
     }
 
     @Override
     public void abort(long ticket) {
-        turn.act(() -> settle(statements.get(ticket), Pg.UNKNOWN_EFFECT,
-            "the statement may or may not have had an effect", null));
+        Taken taken = statements.get(ticket);
+        turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the statement may or may not have had an effect",
+            null));
     }
 
     @Override
--- a/src/main/java/basaltlever/net/ClientConnection.java
+++ b/src/main/java/basaltlever/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
 import basaltlever.pg.Pg;
 import basaltlever.pg.PgFault;
@@ -23,20 +24,24 @@
     private enum State { STARTING, READY, BUSY, CLOSED }
 
     private final Clients clients;
-    private Frames frames = new Frames(LARGEST_START);
+    private final Budget budget;
+    private Frames frames;
     private ChannelHandlerContext context;
     private State state = State.STARTING;
     private Taken taken;
     /** After an error in the extended protocol all is skipped up to the next Sync. */
     private boolean skipping;
 
-    ClientConnection(Clients clients) {
+    ClientConnection(Clients clients, Budget budget) {
         this.clients = clients;
+        this.budget = budget;
+        frames = new Frames(LARGEST_START, budget);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        clients.descriptors().idle(this, true);
     }
 
     @Override
@@ -45,20 +50,21 @@
             ((ByteBuf) read).release();
             return;
         }
-        frames.add((ByteBuf) read);
-        // With a statement under way, a client may send more ahead, but not without end.
-        if (state == State.BUSY && frames.size() > LARGEST) {
-            in.channel().config().setAutoRead(false);
+        try {
+            frames.add((ByteBuf) read);
+        } catch (PgFault fault) {
+            refuse(fault);
         }
         pump();
     }
 
+    /** Goes on while no statement is under way and the client takes its answers. */
     private void pump() {
         try {
-            while (state == State.STARTING || state == State.READY) {
+            while ((state == State.STARTING || state == State.READY) && context.channel().isWritable()) {
                 ByteBuf message = state == State.STARTING ? frames.nextUntyped() : frames.next();
                 if (message == null) {
-                    return;
+                    break;
                 }
                 if (state == State.STARTING) {
                     start(message);
@@ -66,9 +72,25 @@
                     message(message);
                 }
             }
+            // A client may send more ahead, but not without end.
+            context.channel().config().setAutoRead(frames.size() <= LARGEST);
         } catch (PgFault fault) {
+            refuse(fault);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext in) {
+        pump();
+    }
+
+    private void refuse(PgFault fault) {
+        if (state != State.CLOSED) {
             LOG.info("client {}: {}", context.channel().remoteAddress(), fault.getMessage());
-            fatal(fault.code, fault.getMessage());
+            ByteBuf out = context.alloc().buffer();
+            Write.error(out, "FATAL", fault.code, fault.getMessage(), null);
+            gone();
+            context.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
         }
     }
 
@@ -91,7 +113,7 @@
             }
             Write.welcome(out);
             context.writeAndFlush(out);
-            Frames rest = new Frames(LARGEST);
+            Frames rest = new Frames(LARGEST, budget);
             frames.handOver(rest);
             frames = rest;
             ready();
@@ -168,8 +190,17 @@
             row.forEach(ByteBuf::release);
             return;
         }
+        long size = row.stream().mapToLong(ByteBuf::readableBytes).sum();
+        if (!budget.hold(size)) {
+            budget.release(size);
+            row.forEach(ByteBuf::release);
+            answerError(Pg.UNKNOWN_EFFECT, "there is no memory for the answer", null);
+            return;
+        }
         row.forEach(context::write);
-        reply(out -> { });
+        ByteBuf end = context.alloc().buffer();
+        Write.ready(end);
+        context.writeAndFlush(end).addListener(done -> budget.release(size));
         next();
     }
 
@@ -187,7 +218,6 @@
             return;
         }
         ready();
-        context.channel().config().setAutoRead(true);
         pump();
     }
 
@@ -209,13 +239,6 @@
         return state == State.BUSY;
     }
 
-    private void fatal(String code, String message) {
-        ByteBuf out = context.alloc().buffer();
-        Write.error(out, "FATAL", code, message, null);
-        gone();
-        context.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
-    }
-
     private void close() {
         gone();
         context.close();
@@ -224,6 +247,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext in) {
         gone();
+        clients.closed(this);
     }
 
     @Override
@@ -238,7 +262,7 @@
         if (state != State.CLOSED) {
             state = State.CLOSED;
             frames.release();
-            clients.closed(this, taken);
+            clients.left(this, taken);
             taken = null;
         }
     }
--- a/src/main/java/basaltlever/net/Clients.java
+++ b/src/main/java/basaltlever/net/Clients.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.core.Core;
+import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
 import basaltlever.pg.PgFault;
 import basaltlever.pg.Query;
@@ -17,17 +18,19 @@
     private final Descriptors descriptors;
     private final List<String> workloadNames;
     private final int mostOpen;
+    private final Budget budget;
     private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
     private Core<String> core;
     private Carrier carrier;
     private long tickets;
     private boolean closesIdle;
 
-    Clients(Turn turn, Descriptors descriptors, List<String> workloadNames, int mostOpen) {
+    Clients(Turn turn, Descriptors descriptors, List<String> workloadNames, int mostOpen, Budget budget) {
         this.turn = turn;
         this.descriptors = descriptors;
         this.workloadNames = workloadNames;
         this.mostOpen = mostOpen;
+        this.budget = budget;
     }
 
     void serve(Core<String> with, Carrier by) {
@@ -44,7 +47,7 @@
         if (!descriptors.admitsClient()) {
             return null;
         }
-        ClientConnection connection = new ClientConnection(this);
+        ClientConnection connection = new ClientConnection(this, budget);
         connections.add(connection);
         return connection;
     }
@@ -60,9 +63,10 @@
     /** Takes the text over. */
     Taken take(ClientConnection client, ByteBuf text, Query query, int workload) {
         Taken taken = new Taken(++tickets, client, text, query);
+        boolean fits = budget.hold(text.capacity());
         turn.hear(now -> {
             taken.clientLeaves = now.plus(Span.ofMillis(query.waitMillis));
-            if (carrier.open() >= mostOpen) {
+            if (carrier.open() >= mostOpen || !fits) {
                 carrier.turnAway(taken);
                 return;
             }
@@ -73,16 +77,20 @@
         return taken;
     }
 
-    void closed(ClientConnection connection, Taken taken) {
-        if (connections.remove(connection)) {
-            descriptors.busy(connection);
-            descriptors.clientClosed();
-        }
+    /** Its client has gone away, or must go. */
+    void left(ClientConnection connection, Taken taken) {
+        descriptors.busy(connection);
         if (taken != null) {
             carrier.left(taken);
         }
     }
 
+    void closed(ClientConnection connection) {
+        if (connections.remove(connection)) {
+            descriptors.clientClosed();
+        }
+    }
+
     /** From here on connections end with their statements. */
     void closeIdle() {
         closesIdle = true;
--- a/src/main/java/basaltlever/net/Clock.java
+++ b/src/main/java/basaltlever/net/Clock.java
@@ -1,10 +1,13 @@
 package basaltlever.net;
 
 import basaltlever.time.Moment;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 
 /** Unix time that never runs backwards: read once from the system, from then on by the steady clock. */
 final class Clock {
-    private final long start = System.currentTimeMillis() * 1_000;
+    /** In microseconds: whole milliseconds would make a position that a node has just told lie in the future. */
+    private final long start = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
     private final long steady = System.nanoTime();
 
     Moment now() {
--- a/src/main/java/basaltlever/net/Job.java
+++ b/src/main/java/basaltlever/net/Job.java
@@ -50,12 +50,12 @@
         }
     }
 
-    /** Stops waiting: the connection can't be used again, since the answer may still come on it. */
+    /** Stops waiting: a connection that carries it can't be used again, since the answer may still come. */
     final void giveUp(Ending after) {
         NodeConnection in = connection;
         endLost(Ending.NEVER_SENT, after);
         if (in != null) {
-            in.close();
+            in.abandon();
         }
     }
 
--- a/src/main/java/basaltlever/net/NodeConnection.java
+++ b/src/main/java/basaltlever/net/NodeConnection.java
@@ -2,6 +2,7 @@
 
 import basaltlever.gateway.Ending;
 import basaltlever.pg.Answer;
+import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
 import basaltlever.pg.Pg;
 import basaltlever.pg.PgFault;
@@ -12,6 +13,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +27,8 @@
     private enum State { OPENING, IDLE, BUSY, CLOSED }
 
     private final NodeLink link;
-    private final Frames frames = new Frames(LARGEST);
+    private final InetSocketAddress address;
+    private final Frames frames;
     private Channel channel;
     private State state = State.OPENING;
     private Job job;
@@ -34,8 +37,10 @@
     private Moment idleSince;
 
     /** Opens it for the job, which is its own until the job is over. */
-    NodeConnection(NodeLink link, Job job) {
+    NodeConnection(NodeLink link, InetSocketAddress address, Budget budget, Job job) {
         this.link = link;
+        this.address = address;
+        frames = new Frames(LARGEST, budget);
         this.job = job;
         job.on(this);
     }
@@ -134,6 +139,17 @@
         idleSince = link.now();
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** One that is still being opened may serve another query. */
+    void abandon() {
+        if (state != State.OPENING) {
+            close();
+        }
+    }
+
     @Override
     public void closeIdle() {
         close();
--- a/src/main/java/basaltlever/net/NodeLink.java
+++ b/src/main/java/basaltlever/net/NodeLink.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.gateway.Ending;
+import basaltlever.pg.Budget;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.bootstrap.Bootstrap;
@@ -20,6 +21,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Descriptors descriptors;
+    private final Budget budget;
     private final Span connectTimeout;
     private final Span keptFor;
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
@@ -28,12 +30,13 @@
 
     /** An idle connection is closed a connect time-out before the node may: a path can take that long. */
     NodeLink(String name, Bootstrap bootstrap, EventLoop loop, Clock clock, Descriptors descriptors,
-             Span connectTimeout, Span idleClose) {
+             Budget budget, Span connectTimeout, Span idleClose) {
         this.name = name;
         this.bootstrap = bootstrap;
         this.loop = loop;
         this.clock = clock;
         this.descriptors = descriptors;
+        this.budget = budget;
         this.connectTimeout = connectTimeout;
         this.keptFor = idleClose.minus(connectTimeout).longer(Span.NONE);
     }
@@ -72,7 +75,7 @@
             job.endLost(Ending.NO_CONNECTION, Ending.RESET);
             return;
         }
-        NodeConnection connection = new NodeConnection(this, job);
+        NodeConnection connection = new NodeConnection(this, address, budget, job);
         ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -97,6 +100,10 @@
     }
 
     void free(NodeConnection connection) {
+        if (!connection.address().equals(address)) {
+            connection.close();
+            return;
+        }
         idle.addFirst(connection);
         descriptors.idle(connection, false);
         sweepLater();
--- a/src/main/java/basaltlever/net/Router.java
+++ b/src/main/java/basaltlever/net/Router.java
@@ -4,9 +4,9 @@
 import basaltlever.config.StartFile;
 import basaltlever.config.StartValues;
 import basaltlever.core.Core;
-import basaltlever.core.Gauges;
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
+import basaltlever.pg.Budget;
 import basaltlever.time.Span;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -21,6 +21,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.PlatformDependent;
 import java.io.File;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -28,6 +29,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -77,20 +79,20 @@
         Clock clock = new Clock();
         Turn turn = new Turn(loop, clock);
         ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
+        // Half of what buffers may take: the other half is for what is being read and written right now.
+        Budget budget = new Budget(PlatformDependent.maxDirectMemory() / 2);
         Descriptors descriptors = new Descriptors(start.sockets() - inUse() - RESERVED);
         Bootstrap outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (values.connectTimeout().micros() / 1_000));
-        Gauges gauges = values.gauges(0);
-        carrier = new Carrier(turn, loop, node -> links.computeIfAbsent(node, name -> new NodeLink(name,
-            outwards, loop, clock, descriptors, values.connectTimeout(), values.idleClose())), gauges,
-            values.connectTimeout());
-        clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen());
+        Function<String, NodeLink> linkTo = node -> links.computeIfAbsent(node, name -> new NodeLink(name,
+            outwards, loop, clock, descriptors, budget, values.connectTimeout(), values.idleClose()));
+        carrier = new Carrier(turn, loop, linkTo, values.gauges(0), values.connectTimeout(), budget);
+        clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen(), budget);
         longestTimeout = values.longestTimeout();
         Core<String> core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
-        MemberList list = new MemberList(core, values.zones(), (node, address) ->
-            links.computeIfAbsent(node, name -> new NodeLink(name, outwards, loop, clock, descriptors,
-                values.connectTimeout(), values.idleClose())).at(address));
+        MemberList list = new MemberList(core, values.zones(),
+            (node, address) -> linkTo.apply(node).at(address));
         Watch watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
--- a/src/main/java/basaltlever/net/Taken.java
+++ b/src/main/java/basaltlever/net/Taken.java
@@ -17,6 +17,7 @@
     Moment clientLeaves;
     int out;
     boolean answered;
+    boolean forgotten;
 
     /** Takes the text over. */
     Taken(long ticket, ClientConnection client, ByteBuf text, Query query) {
--- a/src/main/java/basaltlever/net/Turn.java
+++ b/src/main/java/basaltlever/net/Turn.java
@@ -65,7 +65,7 @@
     private static void guarded(String what, Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | OutOfMemoryError fault) {
             LOG.error("fault while {}", what, fault);
         }
     }
--- a/src/main/java/basaltlever/pg/Frames.java
+++ b/src/main/java/basaltlever/pg/Frames.java
@@ -12,21 +12,33 @@
     private static final int PIECE = 512;
 
     private final int largest;
+    private final Budget budget;
     /** Owned here; null where all that came was used. */
     private ByteBuf kept;
+    private int counted;
 
-    /** No message may be larger, so that no peer can fill the memory. */
-    public Frames(int largest) {
+    /** No message may be larger, and all that is kept goes by the budget. */
+    public Frames(int largest, Budget budget) {
         this.largest = largest;
+        this.budget = budget;
     }
 
     /** Takes the buffer over. */
-    public void add(ByteBuf in) {
+    public void add(ByteBuf in) throws PgFault {
         if (kept == null || !kept.isReadable()) {
             release();
             kept = in;
-            return;
+        } else {
+            join(in);
         }
+        int more = kept.capacity() - counted;
+        counted += more;
+        if (!budget.hold(more)) {
+            throw new PgFault(Pg.TOO_MANY, "too many messages are under way");
+        }
+    }
+
+    private void join(ByteBuf in) {
         try {
             int total = kept.readableBytes() + in.readableBytes();
             // Slices of the old buffer may be held elsewhere: it is only ever written behind them, or left.
@@ -80,13 +92,17 @@
     /** What has come beyond the messages so far goes on in another. */
     public void handOver(Frames to) {
         to.kept = kept;
+        to.counted = counted;
         kept = null;
+        counted = 0;
     }
 
     public void release() {
         if (kept != null) {
             kept.release();
             kept = null;
+            budget.release(counted);
+            counted = 0;
         }
     }
 }
