What a hold keeps with nothing sent is rejected before half of its time, free to come back

Ruled out: transport (to the first attempt 0.2 ms in the median, no reset, no refused connection). At fault: isOverdue, which let a hold last to the end of the statement.

--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -56,14 +56,14 @@
     private static final double ASKING = 0.06;
     private static final double FAILING = 0.3;
     private static final double DEAR = 0.3;
+    private static final double HELD = 0.48;
 
     private static final Comparator<Statement> BY_IMPORTANCE =
         Comparator.comparingDouble((Statement statement) -> -statement.terms.importance())
             .thenComparingLong(statement -> statement.takenAt.micros())
             .thenComparingInt(statement -> statement.id);
 
-    private record Rule(String name, BooleanSupplier when, Runnable then) {
-    }
+    private record Rule(String name, BooleanSupplier when, Runnable then) { }
 
     private final Outbound outbound;
     private final SplittableRandom chance;
@@ -370,13 +370,12 @@
         group.holdSince = now;
         group.lost = node;
         group.primary = null;
+        outbound.primary(group.number, node.id, false);
         change(group);
     }
 
-    /**
-     * Everyone is asked at once, then ever more rarely where the router has little traffic to pay for it. A
-     * router for which nothing waits asks nobody: it finds the primary in a round trip once something does.
-     */
+    // Everyone is asked at once, then ever more rarely where the router has little traffic to pay for it. A
+    // router for which nothing waits asks nobody: it finds the primary in a round trip once something does.
     private void askAround(Group group) {
         for (Node member : group.members) {
             Span period = now.since(group.holdSince).shorter(pollPeriod(member).times(0.5))
@@ -405,6 +404,7 @@
             group.phase = Phase.STEADY;
             group.primary = claimant;
             group.lost = null;
+            outbound.primary(group.number, claimant.id, true);
         }
         release(group.held);
         release(group.waiting);
@@ -447,11 +447,9 @@
         }
     }
 
-    /**
-     * Where busy nodes answer late, sending more only keeps it so. A router with little traffic can't tell by
-     * nodes, but by the group: the more of its reads were late, the more it sheds, steeply, first the less
-     * important. The primary counts by itself, or its jam would keep reads off idle replicas.
-     */
+    // Where busy nodes answer late, sending more only keeps it so. A router with little traffic can't tell by
+    // nodes, but by the group: the more of its reads were late, the more it sheds, steeply, first the less
+    // important. The primary counts by itself, or its jam would keep reads off idle replicas.
     private boolean isShed(Statement statement, Fading jam) {
         double share = statement.terms.importance() / topImportance;
         double sent = (TOLERATED + share / 4) * Math.pow(1 - jam.at(now, REMEMBERED), 3);
@@ -479,11 +477,9 @@
         return spare && hasRoom(primary, 1 - FOR_WRITES) && !outranked ? primary : null;
     }
 
-    /**
-     * Less busy of two replicas proven new enough; else of two that check and were new enough when last seen;
-     * else the one that was least behind; else the primary. One that loses what it is given comes last: a
-     * path may be bad for this router alone while the node serves the others and answers polls.
-     */
+    // Less busy of two replicas proven new enough; else of two that check and were new enough when last seen;
+    // else the one that was least behind; else the primary. One that loses what it is given comes last: a
+    // path may be bad for this router alone while the node serves the others and answers polls.
     private Node readerFor(Statement statement) {
         Span allowed = allowed(statement, now);
         Group group = statement.group;
@@ -546,11 +542,9 @@
             : at.since(statement.mustSee);
     }
 
-    /**
-     * How far behind a replica was when last seen, fading: no proof, only what tells which replica to ask
-     * where its own check keeps a stale answer back. Counted less the age of reports, since frozen or late
-     * reports make all replicas look equally far behind, and the one last heard of would get every read.
-     */
+    // How far behind a replica was when last seen, fading: no proof, only what tells which replica to ask
+    // where its own check keeps a stale answer back. Counted less the age of reports, since frozen or late
+    // reports make all replicas look equally far behind, and the one last heard of would get every read.
     private Span lag(Node node) {
         return new Span((long) node.lag.at(now, FORGIVEN));
     }
@@ -559,10 +553,8 @@
         node.lag.set(now, Math.max(0, lag.micros()));
     }
 
-    /**
-     * Regular polls of a light router are too rare to prove a replica new enough, and a primary can't take
-     * every read: two replicas are asked just before, and the read waits for one round trip.
-     */
+    // Regular polls of a light router are too rare to prove a replica new enough, and a primary can't take
+    // every read: two replicas are asked just before, and the read waits for one round trip.
     private boolean asksFirst(Statement statement) {
         List<Node> members = statement.group.members;
         int start = chance.nextInt(Math.max(1, members.size()));
@@ -657,6 +649,8 @@
             // most half the SLO time: with nothing admitted the response time would never be seen to fall.
             end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload]))
                 .shorter(statement.terms.slo().times(0.5)));
+            Span wait = statement.clientLeaves.since(statement.takenAt).times(HELD);
+            end = mayTryElsewhere(statement) ? end.earlier(statement.takenAt.plus(wait)) : end;
             if (statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
                 // Waiting for room any longer would leave too little of the SLO time for the work itself.
                 end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
@@ -665,6 +659,12 @@
         return !now.isBefore(end);
     }
 
+    // Held for most of its time with nothing sent, its client would have too little left to try elsewhere.
+    // Not where a late answer is worth most of one in time: there the end of a hold is waited for.
+    private boolean mayTryElsewhere(Statement statement) {
+        return statement.executions == 0 && statement.terms.lateShare() <= 0.5;
+    }
+
     private void giveUp(Statement statement) {
         boolean harmless = statement.terms.repeat() == Repeat.IDEMPOTENT
             || !statement.mayHaveRun && statement.out == 0
@@ -672,7 +672,10 @@
                 && statement.terms.within() == Workload.Within.ALL;
         finish(statement);
         if (harmless) {
-            double share = 0.75 + 0.25 * chance.nextDouble();
+            // In a hold it may come back at once: only what is held is released in order to a new primary.
+            boolean held = statement.group.phase == Phase.HOLD && statement.terms.onlyPrimary()
+                && mayTryElsewhere(statement);
+            double share = held ? 0 : 0.75 + 0.25 * chance.nextDouble();
             outbound.reject(statement.id, allowance.longestComeBack().times(share));
         } else {
             outbound.abort(statement.id);
@@ -700,10 +703,8 @@
                 }
             }
             if (statement.finished) {
-                Statement last = open.remove(open.size() - 1);
-                if (last != statement) {
-                    open.set(i, last);
-                }
+                Collections.swap(open, i, open.size() - 1);
+                open.remove(open.size() - 1);
             } else if (statement.queued) {
                 change(statement.group);
             } else if (stuck && mayRunAgain(statement)) {
@@ -807,11 +808,9 @@
         }
     }
 
-    /**
-     * Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks
-     * where the node is strained and its cores are busy, else fewer would waste what it can do; past the
-     * hopeless mark in any case, as work whose time-out has passed may go on in the node and crowd it.
-     */
+    // Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks
+    // where the node is strained and its cores are busy, else fewer would waste what it can do; past the
+    // hopeless mark in any case, as work whose time-out has passed may go on in the node and crowd it.
     private void learnStrain(Node node, Statement statement, Span took) {
         double latest = Math.min(5, took.over(statement.terms.slo()));
         double strain = strain(node) + weight(node.strained.since()) * (latest - strain(node));
@@ -834,12 +833,10 @@
         return node.out + ghosts(node) < node.room * share;
     }
 
-    /**
-     * An error may be the node's or the statement's own. What erred once and then went through shows that the
-     * node failed; what errs at a second node, neither known to fail, is held to be worthless anywhere: no
-     * node is blamed for it and nothing more is spent on it. Wrong where several nodes begin to fail at once,
-     * and then only until some statement has gone through.
-     */
+    // An error may be the node's or the statement's own. What erred once and then went through shows that the
+    // node failed; what errs at a second node, neither known to fail, is held to be worthless anywhere: no
+    // node is blamed for it and nothing more is spent on it. Wrong where several nodes begin to fail at once,
+    // and then only until some statement has gone through.
     private void judgeError(Statement statement, int execution, Ending ending) {
         if (ending == Ending.ERROR) {
             statement.erred[execution] = true;
@@ -907,10 +904,8 @@
         }
     }
 
-    /**
-     * Polls may go unanswered where the node serves: what it answered lately counts for more, and it stays
-     * open to a trial, or a router that polls rarely would do without it for long.
-     */
+    // Polls may go unanswered where the node serves: what it answered lately counts for more, and it stays
+    // open to a trial, or a router that polls rarely would do without it for long.
     private void pollMissed(Node node, boolean refused) {
         node.pollMisses++;
         Span backoff = HOLD_POLL.times(1 << Math.min(7, node.pollMisses)).shorter(pollPeriod(node));
@@ -937,11 +932,9 @@
         return Math.max(0, node.coldWork - faded);
     }
 
-    /**
-     * The work a second that this router may add to a cold node. What warm members bear from this router is
-     * its share of what a node can do; every router keeping to its share, however uneven, the sum stays
-     * below. Where a whole group is cold, the warm nodes of the others are the yardstick.
-     */
+    // The work a second that this router may add to a cold node. What warm members bear from this router is
+    // its share of what a node can do; every router keeping to its share, however uneven, the sum stays
+    // below. Where a whole group is cold, the warm nodes of the others are the yardstick.
     private double coldRate(Node node) {
         double perSize = warmRate(node.group.members);
         double borne = (perSize > 0 ? perSize : warmRate(nodes)) * node.size;
@@ -999,10 +992,8 @@
         }
     }
 
-    /**
-     * Often enough to show replicas inside the tightest bound, as far as the polls bear a price that goes
-     * with what this router itself has to send: then all routers together stay below it, however many.
-     */
+    // Often enough to show replicas inside the tightest bound, as far as the polls bear a price that goes
+    // with what this router itself has to send: then all routers together stay below it, however many.
     private Span pollPeriod(Node node) {
         if (standing.pollPrice() <= 0) {
             return cadence;
--- a/src/main/java/basaltlever/adapter/Instance.java
+++ b/src/main/java/basaltlever/adapter/Instance.java
@@ -154,17 +154,13 @@
     }
 
     @Override
-    public void note(String line) {
-        text(3, line);
+    public void primary(int group, Long node, boolean found) {
+        // The simulator tells of every change of primary itself.
     }
 
     void broken(String cause) {
-        text(10, cause);
-    }
-
-    private void text(int code, String line) {
-        byte[] words = line.getBytes(StandardCharsets.UTF_8);
+        byte[] words = cause.getBytes(StandardCharsets.UTF_8);
         int length = Math.min(words.length, 500);
-        reply.record(number, code, 2 + length).putShort((short) length).put(words, 0, length);
+        reply.record(number, 10, 2 + length).putShort((short) length).put(words, 0, length);
     }
 }
--- a/src/main/java/basaltlever/core/Core.java
+++ b/src/main/java/basaltlever/core/Core.java
@@ -196,7 +196,7 @@
     }
 
     @Override
-    public void note(String line) {
-        outside.note(line);
+    public void primary(int group, int node, boolean found) {
+        outside.primary(group, nodes.get(node), found);
     }
 }
--- a/src/main/java/basaltlever/core/Outside.java
+++ b/src/main/java/basaltlever/core/Outside.java
@@ -21,5 +21,5 @@
 
     void wake(Span fromNow);
 
-    void note(String line);
+    void primary(int group, N node, boolean found);
 }
--- a/src/main/java/basaltlever/gateway/Outbound.java
+++ b/src/main/java/basaltlever/gateway/Outbound.java
@@ -30,6 +30,6 @@
 
     void wake(Span fromNow);
 
-    /** A line for the report of the day. */
-    void note(String line);
+    /** Tells on-call that a group has found its primary, or lost it. */
+    void primary(int group, int node, boolean found);
 }
--- a/src/main/java/basaltlever/net/Carrier.java
+++ b/src/main/java/basaltlever/net/Carrier.java
@@ -170,8 +170,8 @@
     }
 
     @Override
-    public void note(String line) {
-        LOG.info("{}", line);
+    public void primary(int group, String node, boolean found) {
+        LOG.info("group {} {} its primary {}", group, found ? "has found" : "has lost", links.apply(node));
     }
 
     // ---- What became of it.
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -4,6 +4,7 @@
 
 import basaltlever.gateway.*;
 import basaltlever.time.Moment;
+import basaltlever.time.Span;
 import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.Example;
@@ -96,6 +97,20 @@
         check(world.rejected.equals(List.of(never)), "rejected before the client leaves");
     }
 
+    /** Found on sockets: writes held to their end cost more than those whose clients could try again. */
+    @Example
+    void aHoldKeepsAStatementForHalfOfItsTimeUnlessALateAnswerIsWorthMost() {
+        StandIn world = StandIn.plain().list(3);
+        world.take(WRITE, 9, Moment.LONG_AGO, 2_000);
+        int late = world.take(LATE, 9, Moment.LONG_AGO, 2_000);
+        world.later(900);
+        check(world.rejected.isEmpty(), "held for nearly half of its time");
+        world.later(100);
+        check(world.rejected.equals(List.of(0)) && world.advice.equals(Span.NONE), "it may try elsewhere");
+        world.later(700).poll(0, Role.PRIMARY, world.now);
+        check(statements(world).equals(List.of(late)), "held on for what late is worth");
+    }
+
     @Example
     void aDeduplicatedStatementIsSentAgainOnlyWithinItsWindow() {
         StandIn world = StandIn.plain().steady(20);
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -20,6 +20,7 @@
     static final int FRESH = 3;
     static final int WRITE = 4;
     static final int KEYED = 5;
+    static final int LATE = 6;
     static final Span SLACK = ms(20);
 
     record Sent(int statement, int execution, int node, Span timeout, Moment at) {
@@ -68,6 +69,7 @@
     final List<Integer> aborted = new ArrayList<>();
     final List<Sent> cancelled = new ArrayList<>();
     int watches;
+    Span advice;
     final Set<Sent> ended = new HashSet<>();
     final List<Member> members = new ArrayList<>();
     final List<Fate> fates = new ArrayList<>();
@@ -98,7 +100,8 @@
             workload(Needs.SESSION, Repeat.IDEMPOTENT, 2, 0),
             workload(Needs.FRESH, Repeat.IDEMPOTENT, 1, 0.2),
             workload(Needs.WRITE, Repeat.NON_IDEMPOTENT, 4, 0.5),
-            workload(Needs.WRITE, Repeat.DEDUPLICATED, 3, 0.5)};
+            workload(Needs.WRITE, Repeat.DEDUPLICATED, 3, 0.5),
+            workload(Needs.WRITE, Repeat.NON_IDEMPOTENT, 3, 0.8)};
         replication = new Replication(check, positions, tokens);
         allowance = new Allowance(6, copies, true, true, ms(1_000), SLACK);
         balance = new Balance(this, new SplittableRandom(seed), new Standing(routers, 0, 0.01, 0.02),
@@ -278,6 +281,7 @@
         check(workloads[fate.workload].repeat() == Repeat.IDEMPOTENT || !fate.mayHaveRun && fate.out == 0,
             "rule 2: rejected what may have run");
         answer(fate);
+        advice = comeBackAfter;
         rejected.add(statement);
     }
 
@@ -340,7 +344,7 @@
     }
 
     @Override
-    public void note(String line) {
+    public void primary(int group, int node, boolean found) {
     }
 
     // ---- Nodes that answer by themselves.
