--- a/src/main/java/basaltlever/cli/Main.java
+++ b/src/main/java/basaltlever/cli/Main.java
@@ -33,6 +33,14 @@
         private List<String> files = new ArrayList<>();
     }
 
+    @Parameters(commandDescription = "Starts a router, has it answer one statement and stops it")
+    private static final class Rehearse {
+        @Parameter(description = "FILE", required = true)
+        private String file;
+        @Parameter(names = "--workload", description = "name of the statement's workload")
+        private String workload = "list";
+    }
+
     @Parameters(commandDescription = "Speaks the simulator's wire on standard input and output")
     private static final class Bench {
     }
@@ -48,8 +56,10 @@
     public static void main(String[] args) throws InterruptedException {
         Serve serve = new Serve();
         Check check = new Check();
+        Rehearse rehearse = new Rehearse();
         JCommander line = JCommander.newBuilder().programName("basaltlever")
-            .addCommand("serve", serve).addCommand("check", check).addCommand("adapter", new Bench())
+            .addCommand("serve", serve).addCommand("check", check).addCommand("rehearse", rehearse)
+            .addCommand("adapter", new Bench())
             .addCommand("version", new Version()).addCommand("help", new Help()).build();
         try {
             line.parse(args);
@@ -62,6 +72,7 @@
         switch (command == null ? "" : command) {
             case "serve" -> serve(serve.file);
             case "check" -> check(check.files);
+            case "rehearse" -> rehearse(rehearse.file, rehearse.workload);
             case "adapter" -> adapter();
             case "version" -> System.out.println("basaltlever " + Main.class.getPackage()
                 .getImplementationVersion());
@@ -113,6 +124,15 @@
         System.exit(sound ? 0 : MISUSED);
     }
 
+    private static void rehearse(String file, String workload) throws InterruptedException {
+        try {
+            System.out.println("answered: " + Rehearsal.run(Path.of(file), workload));
+        } catch (StartFault | IOException fault) {
+            System.err.println("basaltlever: " + fault.getMessage());
+            System.exit(MISUSED);
+        }
+    }
+
     private static void adapter() {
         try {
             new Adapter(System.in, System.out).run();
--- a/src/main/java/basaltlever/net/Router.java
+++ b/src/main/java/basaltlever/net/Router.java
@@ -23,6 +23,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.PlatformDependent;
 import java.io.File;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -71,7 +72,7 @@
         }
         listener = bound.channel();
         loop.submit(() -> enter(Phase.SERVING)).sync();
-        LOG.info("{} serves at {}", start.name(), start.listen());
+        LOG.info("{} serves at {}", start.name(), address());
     }
 
     private ChannelFuture build(StartFile start) {
@@ -173,6 +174,11 @@
         stopped.countDown();
     }
 
+    /** Where it listens; the port is its own choice where the start file gives 0. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
     public void awaitStop() throws InterruptedException {
         stopped.await();
     }
