--- a/src/main/java/basaltlever/cli/Rehearsal.java
+++ b/src/main/java/basaltlever/cli/Rehearsal.java
@@ -14,8 +14,8 @@
 import java.nio.file.Path;
 
 /**
- * Starts a router, has it answer one statement and stops it. The build runs it to record the classes that serving
- * loads; an operator can run it to see whether a start file serves.
+ * Starts a router, has it answer one statement and stops it. The build runs it to record the classes that
+ * serving loads; an operator can run it to see whether a start file serves.
  */
 final class Rehearsal {
     private static final int PATIENCE_MILLIS = 5_000;
@@ -31,7 +31,8 @@
             socket.setSoTimeout(PATIENCE_MILLIS);
             ByteBuf out = Unpooled.buffer();
             Write.startup(out, "app", "shop");
-            Write.query(out, "/* id=1,c=" + workload + ",d=400,cluster=0 */ SELECT doc FROM items WHERE id = 'a'");
+            Write.query(out, "/* id=1,c=" + workload + ",d=400,cluster=0 */ SELECT doc FROM items"
+                + " WHERE id = 'a'");
             socket.getOutputStream().write(ByteBufUtil.getBytes(out));
             DataInputStream in = new DataInputStream(socket.getInputStream());
             upToReady(in);
--- a/src/main/java/basaltlever/config/Keys.java
+++ b/src/main/java/basaltlever/config/Keys.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * Values by their full path, from nested JSON or from lines of path=value alike; lists of scalars are joined by
- * commas, lists of objects have a count and numbered items. Faults are gathered, so that all are told at once.
+ * Values by their full path, from nested JSON or from lines of path=value alike; lists of scalars are joined
+ * by commas, lists of objects have a count and numbered items. Faults are gathered, to be told all at once.
  */
 final class Keys {
     private final Map<String, String> values = new HashMap<>();
--- a/src/main/java/basaltlever/config/StartFile.java
+++ b/src/main/java/basaltlever/config/StartFile.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The file a router is started with: where it stands, its limits, the list as last held, its start values. */
+/** The file a router is started with: where it stands, its limits, the list last held, its start values. */
 public final class StartFile {
     private static final long LARGEST = 16 << 20;
     private static final int FEWEST_SOCKETS = 64;
--- a/src/main/java/basaltlever/discovery/ChunkReader.java
+++ b/src/main/java/basaltlever/discovery/ChunkReader.java
@@ -137,7 +137,7 @@
         }
     }
 
-    /** A whole list asked for once need not end in a newline; half a line that broke off is never handed on. */
+    /** A whole list need not end in a newline; half a line that broke off is never handed on. */
     private void over() {
         part = Part.OVER;
         if (line.size() > 0) {
--- a/src/main/java/basaltlever/net/Clock.java
+++ b/src/main/java/basaltlever/net/Clock.java
@@ -6,7 +6,7 @@
 
 /** Unix time that never runs backwards: read once from the system, from then on by the steady clock. */
 final class Clock {
-    /** In microseconds: whole milliseconds would make a position that a node has just told lie in the future. */
+    /** Whole milliseconds would make a position that a node has just told lie in the future. */
     private final long start = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
     private final long steady = System.nanoTime();
 
--- a/src/main/java/basaltlever/net/Descriptors.java
+++ b/src/main/java/basaltlever/net/Descriptors.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashSet;
 
 /**
- * Shares the file descriptors between clients and nodes. Where they run out, the connection that has been idle
- * longest makes room, first one to a node, since it is the router's own; else the newcomer gets none.
+ * Shares the file descriptors between clients and nodes. Where they run out, the connection that has been
+ * idle longest makes room, first one to a node, since it is the router's own; else the newcomer gets none.
  */
 final class Descriptors {
     /** Idle and open connections, longest idle first. */
--- a/src/main/java/basaltlever/net/Turn.java
+++ b/src/main/java/basaltlever/net/Turn.java
@@ -8,8 +8,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One turn of the loop: what the handlers heard is handed to the decisions in one go, after all I/O of the turn
- * and with one reading of the clock; only then is carried out what came back, in order.
+ * One turn of the loop: what the handlers heard is handed to the decisions in one go, after all I/O of the
+ * turn and with one reading of the clock; only then is carried out what came back, in order.
  */
 final class Turn {
     private static final Logger LOG = LoggerFactory.getLogger(Turn.class);
