--- a/src/main/java/basaltlever/config/StartFile.java
+++ b/src/main/java/basaltlever/config/StartFile.java
@@ -39,7 +39,7 @@
             values = null;
         } else {
             int before = faults.size();
-            values = new StartValues(Keys.ofTree(tree.get("settings"), faults));
+            values = new StartValues(Keys.ofTree(tree.get("settings"), faults), true);
             faults.subList(before, faults.size()).replaceAll(line -> "settings." + line);
         }
     }
--- a/src/main/java/basaltlever/config/StartValues.java
+++ b/src/main/java/basaltlever/config/StartValues.java
@@ -21,6 +21,7 @@
 public final class StartValues {
     private static final double LONGEST = 86_400e6;
     private static final double MANY = 1e6;
+    private static final double MUST_ASK_IN = 10e6;
     private static final List<String> NEEDS = List.of("write", "fresh", "session", "bounded", "any");
     private static final List<String> REPEATS = List.of("idempotent", "deduplicated", "at_most_once");
     private static final List<String> GROUPS = List.of("all", "zone", "cell");
@@ -38,7 +39,8 @@
     private final Span connectTimeout;
     private final int mostOpen;
 
-    StartValues(Keys keys) {
+    /** On sockets the list is always asked for, also where the simulator would bring it. */
+    StartValues(Keys keys, boolean asks) {
         this.keys = keys;
         standing = new Standing((int) keys.number("Balancers", 1, MANY), (int) keys.number("Zone", 0, MANY),
             keys.number("Costs.Probe", 0, MANY, 0), keys.number("Costs.CrossZone", 0, MANY, 0));
@@ -49,7 +51,8 @@
         replication = new Replication(checks > 0, keys.flag("FamilyInfo.ProgressTold"), marks == 0);
         boolean asked = keys.choice("Discovery", keys.text("Discovery"),
             List.of("pushed", "on_request")) == 1;
-        drains = new Drains(asked, asked ? span("Rules.MustAskIn") : Span.NONE,
+        drains = new Drains(asked || asks,
+            asked ? span("Rules.MustAskIn") : span("Rules.MustAskIn", MUST_ASK_IN),
             !keys.flag("Rules.RemovalNotBinding"));
         warmUp = new WarmUp(keys.number("Rules.ColdFrom", 0, 1), span("Rules.Cold"),
             keys.number("Rules.FallMultiple", 0, MANY), span("Rules.Fall"));
@@ -72,7 +75,7 @@
 
     public static StartValues ofLines(String text) throws StartFault {
         List<String> faults = new ArrayList<>();
-        StartValues values = new StartValues(Keys.ofLines(text, faults));
+        StartValues values = new StartValues(Keys.ofLines(text, faults), false);
         if (!faults.isEmpty()) {
             throw new StartFault(faults);
         }
--- a/src/main/java/basaltlever/net/Router.java
+++ b/src/main/java/basaltlever/net/Router.java
@@ -80,7 +80,8 @@
         Clock clock = new Clock();
         Turn turn = new Turn(loop, clock);
         ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
-            PooledByteBufAllocator.defaultSmallCacheSize(), PooledByteBufAllocator.defaultNormalCacheSize(), true);
+            PooledByteBufAllocator.defaultSmallCacheSize(),
+            PooledByteBufAllocator.defaultNormalCacheSize(), true);
         // Half of what buffers may take: the other half is for what is being read and written right now.
         Budget budget = new Budget(PlatformDependent.maxDirectMemory() / 2);
         Descriptors descriptors = new Descriptors(start.sockets() - inUse() - RESERVED);
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -490,7 +490,9 @@
             public void letGo(String node) { }
 
             @Override
-            public void watch() { }
+            public void watch() {
+                told.add("watch");
+            }
 
             @Override
             public void wake(Span fromNow) { }
--- a/src/test/java/basaltlever/StartTest.java
+++ b/src/test/java/basaltlever/StartTest.java
@@ -5,8 +5,11 @@
 import basaltlever.StandIn.SocketWorld;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
+import basaltlever.core.Core;
+import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import java.nio.file.Path;
+import java.util.List;
 import net.jqwik.api.Example;
 
 /** The start file: what is read, and one line for each faulty key. */
@@ -52,6 +55,16 @@
         check(faults("").contains("no JSON"), "an empty file");
     }
 
+    @Example
+    void onSocketsTheListIsWatchedEvenWhereItIsPushed() throws StartFault {
+        String pushed = SOUND.replace("\"on_request\"", "\"pushed\"")
+            .replace(",\n   \"MustAskIn\":10000000", "");
+        SocketWorld.Silent outside = new SocketWorld.Silent();
+        Core<String> core = new Core<>(outside, StartFile.of(pushed).values().balance(1, new Moment(0)));
+        core.woken(new Moment(0));
+        check(outside.told.equals(List.of("watch")), "asked for at once");
+    }
+
     @Example
     void filesThatCannotBeReadAreNamed() {
         for (String path : new String[] {"target", "target/nowhere/file"}) {
