A signal to end is heard from the start on; connections take no longer than the grace of a drain

By reading: a SIGTERM before serving ended with the signal's code (Main.serve registered its hook late), and a start that faulted in the build of the loop would have hung. A write decided before a drain was told could be written as late as the connect time-out, which is now cut to the grace.

--- a/src/main/java/basaltlever/cli/Main.java
+++ b/src/main/java/basaltlever/cli/Main.java
@@ -100,13 +100,15 @@
             // Left to itself, a runtime that ends on a signal reports the signal, not that all was answered.
             Runtime.getRuntime().halt(0);
         }, "drain");
+        Runtime.getRuntime().addShutdownHook(drain);
         try {
             router.start(Path.of(file));
-        } catch (StartFault fault) {
-            System.err.println("basaltlever: " + fault.getMessage().replace("\n", "\nbasaltlever: "));
+        } catch (StartFault | RuntimeException fault) {
+            System.err.println("basaltlever: "
+                + String.valueOf(fault.getMessage()).replace("\n", "\nbasaltlever: "));
+            Runtime.getRuntime().removeShutdownHook(drain);
             System.exit(MISUSED);
         }
-        Runtime.getRuntime().addShutdownHook(drain);
         router.awaitStop();
     }
 
--- a/src/main/java/basaltlever/config/Keys.java
+++ b/src/main/java/basaltlever/config/Keys.java
@@ -1,7 +1,6 @@
 package basaltlever.config;
 
 import java.math.BigDecimal;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/basaltlever/config/StartValues.java
+++ b/src/main/java/basaltlever/config/StartValues.java
@@ -22,6 +22,7 @@
     private static final double LONGEST = 86_400e6;
     private static final double MANY = 1e6;
     private static final double MUST_ASK_IN = 10e6;
+    private static final double CONNECT_TIMEOUT = 1e6;
     private static final List<String> NEEDS = List.of("write", "fresh", "session", "bounded", "any");
     private static final List<String> REPEATS = List.of("idempotent", "deduplicated", "at_most_once");
     private static final List<String> GROUPS = List.of("all", "zone", "cell");
@@ -63,7 +64,9 @@
         connections = new Connections((int) keys.number("Bounds.StreamsPerConn", 1, MANY, 1),
             span("Bounds.IdleClose", 0));
         origin = (long) keys.number("FamilyInfo.OriginTime", 0, 1e18, 0);
-        connectTimeout = span("Bounds.ConnectTimeout", 1e6);
+        // What was decided before a drain is told may be written as late as this.
+        Span grace = span("Rules.DrainGrace", LONGEST);
+        connectTimeout = span("Bounds.ConnectTimeout", CONNECT_TIMEOUT).shorter(grace);
         mostOpen = (int) keys.number("Bounds.MaxOpen", 1, 1e9, 1e9);
         workloads = new Workload[(int) keys.number("Classes.count", 1, 250)];
         List<String> needs = keys.list("FamilyInfo.ClassRead");
--- a/src/main/java/basaltlever/net/Router.java
+++ b/src/main/java/basaltlever/net/Router.java
@@ -52,7 +52,8 @@
     private final Map<String, NodeLink> links = new HashMap<>();
     private Phase phase = Phase.READING;
     private MultiThreadIoEventLoopGroup group;
-    private SingleThreadEventLoop loop;
+    /** Read by the thread that hears the signal to end. */
+    private volatile SingleThreadEventLoop loop;
     private Channel listener;
     private Clients clients;
     private Carrier carrier;
@@ -143,6 +144,9 @@
 
     /** Goes on serving while clients may still come, then answers what it took and stops. */
     public void drain() {
+        if (loop == null) {
+            stopped.countDown();
+        }
         if (stopped.getCount() == 0) {
             return;
         }
