--- a/src/main/java/basaltlever/net/Carrier.java
+++ b/src/main/java/basaltlever/net/Carrier.java
@@ -250,10 +250,12 @@
             Ending ending = ending(answer);
             Role role = role(answer);
             double[] values = gauges.values(answer.text());
+            Moment told = gauges.afterMillis(answer.position);
             answer.release();
             turn.hear(now -> core.polled(now, node, ending,
                 gauges.primary < 0 ? role : gauges.role(gauges.value(values, gauges.primary)),
-                gauges.position(Math.nextDown(gauges.value(values, gauges.position))),
+                gauges.position < 0 ? told
+                    : gauges.position(Math.nextDown(gauges.value(values, gauges.position))),
                 gauges.value(values, gauges.util)));
         }
 
--- a/src/main/java/basaltlever/pg/Answer.java
+++ b/src/main/java/basaltlever/pg/Answer.java
@@ -17,7 +17,6 @@
     private String error;
     private boolean spoilt;
     public String role = "";
-    public String gauges = "";
     /** Unix milliseconds, 0 where none was told. */
     public long position;
 
@@ -97,7 +96,6 @@
         String told = message.toString(end + 1, last - end - 1, StandardCharsets.UTF_8);
         switch (name) {
             case "part" -> role = told;
-            case "gauges" -> gauges = told;
             case "caught_up_to" -> position = told.matches("[0-9]{1,15}")
                 ? Math.min(LATEST, Long.parseLong(told)) : 0;
             default -> { }
--- a/src/test/java/basaltlever/RouterTest.java
+++ b/src/test/java/basaltlever/RouterTest.java
@@ -123,6 +123,24 @@
         }
     }
 
+    @Example
+    void aNodeThatMovesUnderItsNameIsFoundAtItsNewAddress() throws Exception {
+        try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port)) {
+            client.start().answer();
+            check(client.ask(statement("j1", "post", 900)).answer().equals("row:j1"), "at first");
+            SocketWorld.Node old = world.nodes.get(0);
+            old.mode = Mode.ERROR;
+            world.nodes.set(0, world.new Node("s-0", true));
+            world.tell();
+            Thread.sleep(200);
+            check(client.ask(statement("j2", "post", 900)).answer().equals("row:j2"),
+                "not on an old connection");
+            old.dies();
+            check(client.ask(statement("j3", "post", 900)).answer().equals("row:j3"),
+                "the old one is not missed");
+        }
+    }
+
     @Example
     void badInputCostsItsConnectionAtMost() throws Exception {
         try (SocketWorld world = new SocketWorld()) {
