Bounded reads carry the moment by which they must be sent, where replicas do not check

By reading: a bound counts from the last byte sent, but was judged when the read was decided on; a connection that is first opened may take up to the connect time-out in between (NodeLink.up wrote it all the same). Now it ends as never sent and is decided on again.

--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -619,7 +619,11 @@
             node.coldWork = coldLevel(node) + typical[statement.workload];
             node.coldAt = now;
         }
-        outbound.execute(statement.id, node.id, timeout);
+        // A connection may have to be opened first, and later than this the proof no longer covers the bound.
+        boolean proven = terms.needs() == Needs.BOUNDED && !replication.replicasCheck()
+            && node != statement.group.primary;
+        outbound.execute(statement.id, node.id, timeout,
+            proven ? node.position.plus(terms.bound()) : Moment.NEVER);
     }
 
     // ---- Further executions and final answers.
--- a/src/main/java/basaltlever/adapter/Instance.java
+++ b/src/main/java/basaltlever/adapter/Instance.java
@@ -113,8 +113,9 @@
         return out.putInt((int) node).putShort((short) (node >> 32));
     }
 
+    /** The simulator sends at once. */
     @Override
-    public void execute(long ticket, int execution, Long node, Span timeout) {
+    public void execute(long ticket, int execution, Long node, Span timeout, Moment sendBy) {
         putNode(reply.record(number, 7, 14).putInt((int) ticket), node).putInt((int) timeout.micros());
     }
 
--- a/src/main/java/basaltlever/core/Core.java
+++ b/src/main/java/basaltlever/core/Core.java
@@ -149,9 +149,9 @@
     // ---- What the decisions do.
 
     @Override
-    public void execute(int statement, int node, Span timeout) {
+    public void execute(int statement, int node, Span timeout, Moment sendBy) {
         pending[statement]++;
-        outside.execute(tickets[statement], executions[statement]++, nodes.get(node), timeout);
+        outside.execute(tickets[statement], executions[statement]++, nodes.get(node), timeout, sendBy);
     }
 
     @Override
--- a/src/main/java/basaltlever/core/Outside.java
+++ b/src/main/java/basaltlever/core/Outside.java
@@ -1,11 +1,12 @@
 package basaltlever.core;
 
+import basaltlever.time.Moment;
 import basaltlever.time.Span;
 
 /** What carries out decisions, in the ids of the outside: tickets for statements, names for nodes. */
 public interface Outside<N> {
-    /** A span of zero lasts as long as the client waits. */
-    void execute(long ticket, int execution, N node, Span timeout);
+    /** A span of zero lasts as long as the client waits; what can't be sent by the moment must not be. */
+    void execute(long ticket, int execution, N node, Span timeout, Moment sendBy);
 
     void cancel(long ticket, int execution);
 
--- a/src/main/java/basaltlever/gateway/Outbound.java
+++ b/src/main/java/basaltlever/gateway/Outbound.java
@@ -1,5 +1,6 @@
 package basaltlever.gateway;
 
+import basaltlever.time.Moment;
 import basaltlever.time.Span;
 
 /**
@@ -9,8 +10,9 @@
 public interface Outbound {
     /**
      * Starts an execution; they count 0, 1, 2 for each statement. A span of zero lasts as long as the client.
+     * What can't be sent by the given moment must not be sent.
      */
-    void execute(int statement, int node, Span timeout);
+    void execute(int statement, int node, Span timeout, Moment sendBy);
 
     void cancel(int statement, int execution);
 
--- a/src/main/java/basaltlever/net/Carrier.java
+++ b/src/main/java/basaltlever/net/Carrier.java
@@ -104,11 +104,11 @@
 
     /** Counted as out from the decision on, so that the core hears of its end whatever comes between. */
     @Override
-    public void execute(long ticket, int execution, String node, Span timeout) {
+    public void execute(long ticket, int execution, String node, Span timeout, Moment sendBy) {
         Taken taken = statements.get(ticket);
         Span left = taken.clientLeaves.since(turn.now());
         Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
-        Execution job = new Execution(taken, execution, turn.now().plus(limit));
+        Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
         taken.out++;
         turn.act(() -> {
@@ -195,11 +195,18 @@
         private final Taken taken;
         private final int number;
         private final Moment until;
+        private final Moment sendBy;
 
-        Execution(Taken taken, int number, Moment until) {
+        Execution(Taken taken, int number, Moment until, Moment sendBy) {
             this.taken = taken;
             this.number = number;
             this.until = until;
+            this.sendBy = sendBy;
+        }
+
+        @Override
+        boolean isTooLate(Moment now) {
+            return now.isAfter(sendBy);
         }
 
         @Override
@@ -245,6 +252,11 @@
             Write.query(out, gauges.names.isEmpty() ? "SELECT 1" : "SHOW gauges");
         }
 
+        @Override
+        boolean isTooLate(Moment now) {
+            return false;
+        }
+
         @Override
         void answered(Answer answer) {
             Ending ending = ending(answer);
--- a/src/main/java/basaltlever/net/Job.java
+++ b/src/main/java/basaltlever/net/Job.java
@@ -2,6 +2,7 @@
 
 import basaltlever.gateway.Ending;
 import basaltlever.pg.Answer;
+import basaltlever.time.Moment;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.Future;
 
@@ -15,6 +16,9 @@
 
     abstract void write(ByteBuf out);
 
+    /** Whether it must no longer be sent. */
+    abstract boolean isTooLate(Moment now);
+
     /** The answer is the job's to release. */
     abstract void answered(Answer answer);
 
--- a/src/main/java/basaltlever/net/NodeLink.java
+++ b/src/main/java/basaltlever/net/NodeLink.java
@@ -56,7 +56,7 @@
         NodeConnection next = idle.pollFirst();
         if (next != null && !isStale(next)) {
             descriptors.busy(next);
-            next.run(job);
+            run(next, job);
         } else {
             if (next != null) {
                 idle.addFirst(next);
@@ -92,10 +92,15 @@
 
     /** A connection stands; its job may have ended meanwhile. */
     void up(NodeConnection connection, Job first) {
-        if (first.isOver()) {
+        run(connection, first);
+    }
+
+    private void run(NodeConnection connection, Job job) {
+        if (job.isOver() || job.isTooLate(now())) {
+            job.endLost(Ending.NEVER_SENT, Ending.NEVER_SENT);
             free(connection);
         } else {
-            connection.run(first);
+            connection.run(job);
         }
     }
 
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -143,6 +143,7 @@
         StandIn world = StandIn.plain().steady(299);
         world.take(BOUNDED);
         check(world.last().node() != 0, "inside the bound");
+        check(world.last().sendBy().equals(world.now.plus(ms(1))), "not sent once the proof is too old");
         world.later(5);
         world.take(BOUNDED);
         check(world.last().node() == 0, "outside of it, and replicas do not check");
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -40,7 +40,7 @@
     static final int LATE = 6;
     static final Span SLACK = ms(20);
 
-    record Sent(int statement, int execution, int node, Span timeout, Moment at) {
+    record Sent(int statement, int execution, int node, Span timeout, Moment at, Moment sendBy) {
     }
 
     private record Due(Moment at, int order, Runnable act) {
@@ -242,7 +242,7 @@
     }
 
     @Override
-    public void execute(int statement, int node, Span timeout) {
+    public void execute(int statement, int node, Span timeout, Moment sendBy) {
         Fate fate = fates.get(statement);
         Workload terms = workloads[fate.workload];
         check(!fate.answered, "rule 1: sent after the final answer");
@@ -257,7 +257,7 @@
         if (node < members.size()) {
             checkNode(members.get(node), fate, terms);
         }
-        Sent execution = new Sent(statement, fate.executions++, node, timeout, now);
+        Sent execution = new Sent(statement, fate.executions++, node, timeout, now, sendBy);
         fate.out++;
         sent.add(execution);
         if (plays != null) {
@@ -285,7 +285,7 @@
     @Override
     public void cancel(int statement, int execution) {
         check(execution < fates.get(statement).executions, "cancelled what was never sent");
-        cancelled.add(new Sent(statement, execution, -1, Span.NONE, now));
+        cancelled.add(new Sent(statement, execution, -1, Span.NONE, now, now));
     }
 
     @Override
@@ -464,7 +464,7 @@
             final List<String> told = new ArrayList<>();
 
             @Override
-            public void execute(long ticket, int execution, String node, Span timeout) {
+            public void execute(long ticket, int execution, String node, Span timeout, Moment sendBy) {
                 told.add("execute");
             }
 
