--- /dev/null
+++ b/src/test/java/basaltlever/ProcessTest.java
@@ -0,0 +1,68 @@
+package basaltlever;
+
+import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.StandIn.check;
+
+import basaltlever.StandIn.SocketWorld;
+import basaltlever.StandIn.SocketWorld.Client;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+
+/** The program as a process of its own: from the built jar where one is named, else from the classes. */
+class ProcessTest {
+    private static Process start(Path file, String... arguments) throws IOException {
+        String jar = System.getProperty("basaltlever.jar");
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+        command.addAll(jar != null ? List.of("-jar", jar)
+            : List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main"));
+        command.addAll(List.of(arguments));
+        ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
+        builder.environment().put("GW_CONFIG", file.toString());
+        return builder.start();
+    }
+
+    private static Client connect(int port, Process process) throws Exception {
+        for (int i = 0; i < 200 && process.isAlive(); i++) {
+            try {
+                return new Client(port);
+            } catch (IOException notYet) {
+                Thread.sleep(50);
+            }
+        }
+        throw new AssertionError("it never listened");
+    }
+
+    @Example
+    void itServesAStatementAndEndsOnASignalWithZero() throws Exception {
+        try (SocketWorld world = new SocketWorld(false)) {
+            for (int i = 0; i < 2; i++) {
+                Process process = start(world.file, "serve");
+                try (Client client = connect(world.port, process)) {
+                    check(client.start().ask("").answer().isEmpty() && client.answer().equals("I"),
+                        "it serves");
+                    String answer = client.ask(statement("a" + i, "view", 1_800)).answer();
+                    check(answer.equals("row:a" + i), "a statement: " + answer);
+                    process.destroy();
+                    check(client.answer().equals("closed"), "closed once idle");
+                    check(process.waitFor(10, TimeUnit.SECONDS) && process.exitValue() == 0,
+                        "exit 0, and the next start works at once");
+                } finally {
+                    process.destroyForcibly();
+                }
+            }
+        }
+    }
+
+    @Example
+    void mistakesOfTheUserEndWithTwo() throws Exception {
+        for (String[] arguments : new String[][] {{}, {"nonsense"}, {"serve"}, {"check"}, {"version", "x"}}) {
+            Process process = start(Path.of("target/nowhere"), arguments);
+            check(process.waitFor(20, TimeUnit.SECONDS) && process.exitValue() == 2,
+                List.of(arguments) + " ends with 2");
+        }
+    }
+}
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -682,8 +682,15 @@
         volatile boolean refusesCalls;
         private volatile Socket watch;
 
+        final Path file = Files.createTempFile("start", ".json");
+
         /** A router with its primary and two replicas, serving. */
         SocketWorld() throws Exception {
+            this(true);
+        }
+
+        /** Else the router is the caller's to start, with the file. */
+        SocketWorld(boolean serves) throws Exception {
             for (int i = 0; i < 3; i++) {
                 nodes.add(new Node("s-" + i, i == 0));
             }
@@ -691,10 +698,10 @@
             try (ServerSocket free = listen(0)) {
                 port = free.getLocalPort();
             }
-            Path file = Files.createTempFile("start", ".json");
             Files.writeString(file, startFile(port, discovery.getLocalPort(), entries()));
-            router.start(file);
-            Files.delete(file);
+            if (serves) {
+                router.start(file);
+            }
         }
 
         static String startFile(int listen, int discovery, String known) {
@@ -829,6 +836,7 @@
                 Thread.currentThread().interrupt();
             }
             discovery.close();
+            Files.delete(file);
             for (Node node : nodes) {
                 node.dies();
             }
