--- a/src/main/java/basaltlever/net/Router.java
+++ b/src/main/java/basaltlever/net/Router.java
@@ -10,7 +10,6 @@
 import basaltlever.time.Span;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -58,6 +57,7 @@
     private Clients clients;
     private Carrier carrier;
     private Span longestTimeout;
+    private PooledByteBufAllocator buffers;
 
     /** Reads, listens, and returns once it serves. */
     public void start(Path file) throws StartFault, InterruptedException {
@@ -80,7 +80,7 @@
         StartValues values = start.values();
         Clock clock = new Clock();
         Turn turn = new Turn(loop, clock);
-        ByteBufAllocator buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
+        buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
             PooledByteBufAllocator.defaultSmallCacheSize(),
             PooledByteBufAllocator.defaultNormalCacheSize(), true);
         // Half of what buffers may take: the other half is for what is being read and written right now.
@@ -185,6 +185,13 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** Buffers that a stopped router has not released; none where every owner did its part. */
+    public long buffersHeld() throws InterruptedException {
+        group.terminationFuture().await();
+        return buffers.metric().directArenas().stream().mapToLong(arena -> arena.numActiveAllocations())
+            .sum();
+    }
+
     public void awaitStop() throws InterruptedException {
         stopped.await();
     }
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -680,6 +680,7 @@
         final Router router = new Router();
         volatile int calls;
         volatile boolean refusesCalls;
+        private final boolean serves;
         private volatile Socket watch;
 
         final Path file = Files.createTempFile("start", ".json");
@@ -691,6 +692,7 @@
 
         /** Else the router is the caller's to start, with the file. */
         SocketWorld(boolean serves) throws Exception {
+            this.serves = serves;
             for (int i = 0; i < 3; i++) {
                 nodes.add(new Node("s-" + i, i == 0));
             }
@@ -832,6 +834,7 @@
             router.drain();
             try {
                 router.awaitStop();
+                check(!serves || router.buffersHeld() == 0, "a buffer was not released");
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
