SIGHUP reads the start file again and follows discovery to its new address

Cause: the runtime's own handler of that signal runs the shutdown hook (cli/Main); nothing read the file again, and net/Watch held its address for good. Ruled out: a fault of the program (no error line before DRAINING). Now the file is checked whole off the loop and swapped on it; a watch at the new address asks for the whole list, since another service's generations can't be compared.

Tests: a reload on sockets (moved discovery, faulty file, open statement), SIGHUP at the process.

--- a/src/main/java/basaltlever/cli/Main.java
+++ b/src/main/java/basaltlever/cli/Main.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Semaphore;
+import sun.misc.Signal;
 
 /** The command line: picks what stands in front of the decisions. */
 public final class Main {
@@ -101,6 +103,9 @@
             Runtime.getRuntime().halt(0);
         }, "drain");
         Runtime.getRuntime().addShutdownHook(drain);
+        // Left to itself, the runtime ends on this signal. One that comes while starting is heard afterwards.
+        Semaphore asked = new Semaphore(0);
+        Signal.handle(new Signal("HUP"), signal -> asked.release());
         try {
             router.start(Path.of(file));
         } catch (StartFault | RuntimeException fault) {
@@ -109,6 +114,15 @@
             Runtime.getRuntime().removeShutdownHook(drain);
             System.exit(MISUSED);
         }
+        Thread reload = new Thread(() -> {
+            while (true) {
+                asked.acquireUninterruptibly();
+                asked.drainPermits();
+                router.reload();
+            }
+        }, "reload");
+        reload.setDaemon(true);
+        reload.start();
         router.awaitStop();
     }
 
--- a/src/main/java/basaltlever/config/StartFile.java
+++ b/src/main/java/basaltlever/config/StartFile.java
@@ -10,12 +10,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Stream;
 
 /** The file a router is started with: where it stands, its limits, the list last held, its start values. */
 public final class StartFile {
     private static final long LARGEST = 16 << 20;
     private static final int FEWEST_SOCKETS = 64;
 
+    private final Map<?, ?> tree;
     private final String name;
     private final InetSocketAddress listen;
     private final InetSocketAddress discovery;
@@ -25,6 +28,7 @@
     private final StartValues values;
 
     private StartFile(Map<?, ?> tree, List<String> faults) {
+        this.tree = tree;
         Map<Object, Object> own = new LinkedHashMap<>(tree);
         own.keySet().removeAll(List.of("known", "settings"));
         Keys keys = Keys.ofTree("", own, faults);
@@ -97,6 +101,20 @@
         }
     }
 
+    /** The keys that differ from the other file and that a running router can't take over. */
+    public List<String> restartsFor(StartFile other) {
+        return Stream.of("name", "listen", "limits.cores", "limits.memory_mb", "settings")
+            .filter(key -> !Objects.equals(at(key), other.at(key))).toList();
+    }
+
+    private Object at(String key) {
+        Object found = tree;
+        for (String part : key.split("\\.")) {
+            found = found instanceof Map<?, ?> members ? members.get(part) : null;
+        }
+        return found;
+    }
+
     public String name() {
         return name;
     }
--- a/src/main/java/basaltlever/net/Carrier.java
+++ b/src/main/java/basaltlever/net/Carrier.java
@@ -225,6 +225,7 @@
 
         private void ended(Moment now, Ending ending, Answer answer) {
             taken.out--;
+            LOG.debug("execution {} of {} ended {} {}", number, taken.ticket, ending, answer.role);
             guarded(taken, () -> {
                 if (core.ended(now, taken.ticket, number, ending, role(answer),
                     gauges.afterMillis(answer.position), false)) {
--- a/src/main/java/basaltlever/net/Descriptors.java
+++ b/src/main/java/basaltlever/net/Descriptors.java
@@ -12,7 +12,7 @@
         void closeIdle();
     }
 
-    private final int most;
+    private int most;
     private int open;
     private int clients;
     private final LinkedHashSet<Idle> idleNodes = new LinkedHashSet<>();
@@ -22,6 +22,11 @@
         this.most = most;
     }
 
+    /** Where fewer are allowed than are open, newcomers take the place of the idle until it fits. */
+    void most(int now) {
+        most = now;
+    }
+
     /** Each statement needs one connection to its client and one to a node, so neither gets beyond half. */
     boolean admitsClient() {
         if (clients >= most / 2 && !evict(idleClients) || open >= most && !evictAny()) {
--- a/src/main/java/basaltlever/net/Router.java
+++ b/src/main/java/basaltlever/net/Router.java
@@ -50,6 +50,11 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Map<String, NodeLink> links = new HashMap<>();
     private Phase phase = Phase.READING;
+    private Path file;
+    private StartFile start;
+    private Watch watch;
+    private Descriptors descriptors;
+    private int reserved;
     private MultiThreadIoEventLoopGroup group;
     /** Read by the thread that hears the signal to end. */
     private volatile SingleThreadEventLoop loop;
@@ -60,12 +65,13 @@
     private PooledByteBufAllocator buffers;
 
     /** Reads, listens, and returns once it serves. */
-    public void start(Path file) throws StartFault, InterruptedException {
-        StartFile start = StartFile.read(file);
+    public void start(Path from) throws StartFault, InterruptedException {
+        file = from;
+        start = StartFile.read(from);
         enter(Phase.LISTENING);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = (SingleThreadEventLoop) group.next();
-        ChannelFuture bound = loop.submit(() -> build(start)).sync().getNow();
+        ChannelFuture bound = loop.submit(this::build).sync().getNow();
         if (!bound.await().isSuccess()) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw new StartFault(List.of("listen: " + start.listen() + " can't be bound: "
@@ -76,7 +82,26 @@
         LOG.info("{} serves at {}", start.name(), address());
     }
 
-    private ChannelFuture build(StartFile start) {
+    /** Reads the start file again; off the loop, so that a slow disk holds nobody up. A faulty one changes nothing. */
+    public void reload() {
+        StartFile next;
+        try {
+            next = StartFile.read(file);
+        } catch (StartFault fault) {
+            LOG.error("the start file is not taken over, all stays as it was: {}", fault.getMessage());
+            return;
+        }
+        loop.execute(() -> {
+            LOG.info("the start file was read again; discovery is at {}", next.discovery());
+            for (String key : next.restartsFor(start)) {
+                LOG.warn("{} has changed in the start file and takes effect at the next start", key);
+            }
+            descriptors.most(next.sockets() - reserved);
+            watch.moveTo(next.discovery());
+        });
+    }
+
+    private ChannelFuture build() {
         StartValues values = start.values();
         Clock clock = new Clock();
         Turn turn = new Turn(loop, clock);
@@ -85,7 +110,8 @@
             PooledByteBufAllocator.defaultNormalCacheSize(), true);
         // Half of what buffers may take: the other half is for what is being read and written right now.
         Budget budget = new Budget(PlatformDependent.maxDirectMemory() / 2);
-        Descriptors descriptors = new Descriptors(start.sockets() - inUse() - RESERVED);
+        reserved = inUse() + RESERVED;
+        descriptors = new Descriptors(start.sockets() - reserved);
         Bootstrap outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (values.connectTimeout().micros() / 1_000));
@@ -97,7 +123,7 @@
         Core<String> core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
         MemberList list = new MemberList(core, values.zones(),
             (node, address) -> linkTo.apply(node).at(address));
-        Watch watch = new Watch(outwards, start.discovery(), turn, list, core);
+        watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
         turn.hear(now -> {
--- a/src/main/java/basaltlever/net/Watch.java
+++ b/src/main/java/basaltlever/net/Watch.java
@@ -26,10 +26,10 @@
     private static final Span SILENCE = Span.ofMillis(5_000);
 
     private final Bootstrap bootstrap;
-    private final InetSocketAddress discovery;
     private final Turn turn;
     private final MemberList list;
     private final Core<String> core;
+    private InetSocketAddress discovery;
     private Call current;
 
     Watch(Bootstrap bootstrap, InetSocketAddress discovery, Turn turn, MemberList list, Core<String> core) {
@@ -40,6 +40,15 @@
         this.core = core;
     }
 
+    /** One service's versions mean nothing to another: it is asked for the whole list; until then the old holds. */
+    void moveTo(InetSocketAddress other) {
+        if (!other.equals(discovery)) {
+            discovery = other;
+            list.forget();
+            start();
+        }
+    }
+
     /** A watch that still stands is dropped for the new one. */
     void start() {
         if (current != null) {
--- a/src/test/java/basaltlever/ProcessTest.java
+++ b/src/test/java/basaltlever/ProcessTest.java
@@ -57,6 +57,24 @@
         }
     }
 
+    @Example
+    void theSignalToReadTheStartFileAgainEndsNothing() throws Exception {
+        try (SocketWorld world = new SocketWorld(false)) {
+            Process process = start(world.file, "serve");
+            try (Client client = connect(world.port, process)) {
+                client.start().answer();
+                check(client.ask(statement("b1", "view", 1_800)).answer().equals("row:b1"), "at first");
+                world.moveDiscovery();
+                new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+                Thread.sleep(700);
+                check(process.isAlive() && world.calls == 2, "it lives, and asks at the new address");
+                check(client.ask(statement("b2", "view", 1_800)).answer().equals("row:b2"), "it serves on");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Example
     void mistakesOfTheUserEndWithTwo() throws Exception {
         for (String[] arguments : new String[][] {{}, {"nonsense"}, {"serve"}, {"check"}, {"version", "x"}}) {
--- a/src/test/java/basaltlever/RouterTest.java
+++ b/src/test/java/basaltlever/RouterTest.java
@@ -7,6 +7,7 @@
 import basaltlever.StandIn.SocketWorld.Client;
 import basaltlever.StandIn.SocketWorld.Mode;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -143,6 +144,32 @@
         }
     }
 
+    @Example
+    void aReloadFollowsDiscoveryAndAFaultyFileChangesNothing() throws Exception {
+        try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port)) {
+            client.start().answer();
+            check(client.ask(statement("k1", "post", 900)).answer().equals("row:k1"), "at first");
+            Files.writeString(world.file, "{\"discovery\":\"nowhere\"}");
+            world.router.reload();
+            Thread.sleep(200);
+            check(world.calls == 1, "a faulty file is left alone");
+            world.nodes.get(0).mode = Mode.SILENT;
+            client.ask(statement("k2", "post", 900));
+            Thread.sleep(100);
+            world.nodes.set(2, world.new Node("s-9", false));
+            world.moveDiscovery();
+            world.router.reload();
+            world.router.reload();
+            Thread.sleep(400);
+            check(world.calls == 2 && world.asked.contains("since=0 "), "the whole list, once: " + world.asked);
+            check(aborted(client.answer()), "what was open is answered");
+            world.nodes.get(0).mode = Mode.ROW;
+            world.nodes.get(1).mode = Mode.ERROR;
+            client.ask(statement("k3", "view", 900)).answer();
+            check(client.ask(statement("k4", "view", 900)).answer().equals("row:k4"), "the new member serves");
+        }
+    }
+
     @Example
     void badInputCostsItsConnectionAtMost() throws Exception {
         try (SocketWorld world = new SocketWorld()) {
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -680,7 +680,8 @@
         final List<Node> nodes = new ArrayList<>();
         final List<String> seen = Collections.synchronizedList(new ArrayList<>());
         final Map<String, List<Mode>> ran = new ConcurrentHashMap<>();
-        final ServerSocket discovery = listen(0);
+        ServerSocket discovery = listen(0);
+        volatile String asked = "";
         final int port;
         final Router router = new Router();
         volatile int calls;
@@ -742,7 +743,8 @@
         private void follow(Socket socket) throws IOException {
             calls++;
             byte[] head = new byte[4_096];
-            socket.getInputStream().read(head);
+            asked = new String(head, 0, Math.max(0, socket.getInputStream().read(head)),
+                StandardCharsets.US_ASCII);
             if (refusesCalls) {
                 send(socket, Unpooled.copiedBuffer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
                     StandardCharsets.UTF_8));
@@ -763,6 +765,14 @@
                 StandardCharsets.UTF_8));
         }
 
+        /** To another address, in the start file as well; the open watch stays open. */
+        void moveDiscovery() throws IOException {
+            discovery.close();
+            discovery = listen(0);
+            accept(discovery, this::follow);
+            Files.writeString(file, startFile(port, discovery.getLocalPort(), entries()));
+        }
+
         void breakWatch() throws IOException {
             watch.close();
         }
