--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -233,6 +233,9 @@
         } else if (ending == Ending.NO_CONNECTION && now.since(sent).isShorterThan(FASTEST_POLL)) {
             node.refusedAt = now;
         }
+        if (statement.opens[execution] && ending.answered) {
+            scarce.move(now, REMEMBERED, LEARN, 0);
+        }
         if (scarce.at(now, REMEMBERED) > 0.2 && node.out == 0 && node.idle > 0) {
             // Hundreds of routers that keep idle connections shut each other out of nodes that could serve.
             node.idle = 0;
@@ -890,9 +893,10 @@
     private void up(Node node) {
         node.pollMisses = 0;
         if (now.since(node.refusedAt).isShorterThan(SECOND)) {
-            // It refused a connection at once and yet answers: it is at its limit, not gone.
+            // It refused a connection at once and yet answers: at its limit, not gone. One alone is no sign of
+            // that: some always break, and letting go for it opened a connection for every second execution.
             node.refusedAt = Moment.LONG_AGO;
-            scarce.set(now, 1);
+            scarce.move(now, REMEMBERED, 2 * LEARN, 1);
         }
         if (node.down && now.since(node.downSince).isLongerThan(SECOND)) {
             // The list tells of a restart only seconds later.
