Reads wait for three looks at least, far replicas are passed by, a missed write is believed

Causes, all in Balance: isOverdue took an eighth of the SLO time as patience, 10 ms where that is 80, while room is looked for once in 10 ms (scan), and counted the time at a replica that missed; a freed room waited for the next scan (ended); readerFor asked the least behind replica however far behind; learnRole believed the next claim after a write's miss, though reports go on saying primary for seconds. Ruled out: lack of room (half empty), load (primaries at 0.3 to 0.6), processor time.

--- a/src/main/java/basaltlever/Balance.java
+++ b/src/main/java/basaltlever/Balance.java
@@ -15,17 +15,16 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Every decision of one router. One instance serves one router and shares nothing with others.
- *
- * <p>How to call it: build it with the start values, then hand it each event as it comes, with the clock of
- * the batch. Nodes and statements are small indices of the caller's choice; a statement's is free again after
- * its final answer and its last execution's end. What it decides comes out through {@link Outbound}. After
- * each event the rules are gone through from the top until none fires; docs/design.md tells their sources.
+ * Every decision of one router; it shares nothing with others. Each event comes with the clock of the batch,
+ * what is decided comes out through {@link Outbound}. Nodes and statements are small indices of the caller's
+ * choice; a statement's is free again after its final answer and its last execution's end. After each event
+ * the rules are gone through from the top until none fires; docs/design.md tells their sources.
  */
 public final class Balance {
     private static final Span SCAN = Span.ofMillis(10);
-    private static final Span FIRST_POLL = Span.ofMillis(1_000);
     private static final Span RAREST_POLL = Span.ofMillis(30_000);
+    /** Rooms are looked over once a scan: a patience of less would be over before the second look. */
+    private static final Span LEAST_PATIENCE = SCAN.times(3);
     private static final Span FASTEST_POLL = Span.ofMillis(100);
     private static final Span HOLD_POLL = Span.ofMillis(200);
     private static final Span FIRST_REPORT_AGE = Span.ofMillis(500);
@@ -126,12 +125,12 @@
         typicalOfAll = Arrays.stream(typical).average().orElse(0);
         meanSlo = 4 * typicalOfAll;
         topImportance = Arrays.stream(workloads).mapToDouble(Workload::importance).max().orElse(1);
-        Span tightest = FIRST_POLL.times(4);
+        Span tightest = SECOND.times(4);
         for (Workload terms : workloads) {
             tightest = terms.needs() == Needs.BOUNDED ? tightest.shorter(terms.bound()) : tightest;
         }
         cadence = tightest.times(replication.replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
-            .shorter(FIRST_POLL);
+            .shorter(SECOND);
     }
 
     // ---- What the router hears.
@@ -208,9 +207,7 @@
         statements[id] = statement;
         open.add(statement);
         statement.group.rate.add(now, REMEMBERED, 1 / REMEMBERED.over(SECOND));
-        if (scanDue == Moment.NEVER) {
-            scanDue = now.plus(SCAN);
-        }
+        scanDue = scanDue.earlier(now.plus(SCAN));
         unplaced.add(statement);
         settle();
     }
@@ -230,12 +227,10 @@
         if (ending.answered) {
             node.idle++;
             node.usedAt = now;
+            scarce.move(now, REMEMBERED, statement.opens[execution] ? LEARN : 0, 0);
         } else if (ending == Ending.NO_CONNECTION && now.since(sent).isShorterThan(FASTEST_POLL)) {
             node.refusedAt = now;
         }
-        if (statement.opens[execution] && ending.answered) {
-            scarce.move(now, REMEMBERED, LEARN, 0);
-        }
         if (scarce.at(now, REMEMBERED) > 0.2 && node.out == 0 && node.idle > 0) {
             // Hundreds of routers that keep idle connections shut each other out of nodes that could serve.
             node.idle = 0;
@@ -264,6 +259,9 @@
         if (!statement.finished && statement.out == 0 && !statement.queued) {
             unplaced.add(statement);
         }
+        if (!node.group.waiting.isEmpty()) {
+            change(node.group);
+        }
         settle();
         return true;
     }
@@ -381,9 +379,8 @@
     // router for which nothing waits asks nobody: it finds the primary in a round trip once something does.
     private void askAround(Group group) {
         for (Node member : group.members) {
-            Span period = now.since(group.holdSince).shorter(pollPeriod(member).times(0.5))
-                .shorter(FIRST_POLL).longer(HOLD_POLL);
-            pollWithin(member, period);
+            pollWithin(member, now.since(group.holdSince).shorter(pollPeriod(member).times(0.5))
+                .shorter(SECOND).longer(HOLD_POLL));
         }
     }
 
@@ -452,9 +449,8 @@
         }
     }
 
-    // Where busy nodes answer late, sending more only keeps it so. A router with little traffic can't tell by
-    // nodes, but by the group: the more of its reads were late, the more it sheds, steeply, first the less
-    // important. The primary counts by itself, or its jam would keep reads off idle replicas.
+    // Where busy nodes answer late, more only keeps it so: the more of a group's reads were late, the more it
+    // sheds, the less important first. The primary counts apart, or its jam kept reads off idle replicas.
     private boolean isShed(Statement statement, Fading jam) {
         double share = statement.terms.importance() / topImportance;
         double sent = (TOLERATED + share / 4) * Math.pow(1 - jam.at(now, REMEMBERED), 3);
@@ -486,8 +482,8 @@
     // else the one that was least behind; else the primary. One that loses what it is given comes last: a
     // path may be bad for this router alone while the node serves the others and answers polls.
     private Node readerFor(Statement statement) {
-        Span allowed = allowed(statement, now);
         Group group = statement.group;
+        Span allowed = allowed(statement, now);
         boolean checks = replication.replicasCheck() && statement.misses < 2;
         Node first = null;
         Node second = null;
@@ -527,7 +523,8 @@
             double slightly = 0.95 + 0.1 * chance.nextDouble();
             return second == null || busyness(first) * slightly < busyness(second) ? first : second;
         }
-        if (!fits && checks && advanced != null) {
+        // Far behind, it would keep the read for a while only to turn it away.
+        if (!fits && checks && advanced != null && !lag(advanced).isLongerThan(allowed.times(2))) {
             return hasRoom(advanced, 1) ? advanced : null;
         }
         if (!fits && !replication.replicasCheck() && !allowed.isShorterThan(group.reportAge)
@@ -547,9 +544,8 @@
             : at.since(statement.mustSee);
     }
 
-    // How far behind a replica was when last seen, fading: no proof, only what tells which replica to ask
-    // where its own check keeps a stale answer back. Counted less the age of reports, since frozen or late
-    // reports make all replicas look equally far behind, and the one last heard of would get every read.
+    // How far behind a replica was when last seen, fading: no proof, but it tells which to ask where its own
+    // check keeps a stale answer back. Less the age of reports, or late ones make all look equally behind.
     private Span lag(Node node) {
         return new Span((long) node.lag.at(now, FORGIVEN));
     }
@@ -658,11 +654,14 @@
             // most half the SLO time: with nothing admitted the response time would never be seen to fall.
             end = end.minus(new Span((long) (LEAST_CHANCE * typical[statement.workload]))
                 .shorter(statement.terms.slo().times(0.5)));
-            Span wait = statement.clientLeaves.since(statement.takenAt).times(HELD);
-            end = mayTryElsewhere(statement) ? end.earlier(statement.takenAt.plus(wait)) : end;
+            Span held = statement.clientLeaves.since(statement.takenAt).times(HELD);
+            end = mayTryElsewhere(statement) ? end.earlier(statement.takenAt.plus(held)) : end;
             if (statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
-                // Waiting for room any longer would leave too little of the SLO time for the work itself.
-                end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(PATIENCE)));
+                // Any longer for room would leave too little of the SLO time for the work itself. What a node
+                // kept for a while, to turn away or lose it, is past that already, yet has a turn elsewhere.
+                double share = statement.misses > 0 || statement.mayHaveRun ? 0.5 : PATIENCE;
+                end = end.earlier(statement.takenAt.plus(statement.terms.slo().times(share)
+                    .longer(LEAST_PATIENCE)));
             }
         }
         return !now.isBefore(end);
@@ -818,8 +817,7 @@
     }
 
     // Strain is response time over SLO time. Room, the executions this router may have out at a node, shrinks
-    // where the node is strained and its cores are busy, else fewer would waste what it can do; past the
-    // hopeless mark in any case, as work whose time-out has passed may go on in the node and crowd it.
+    // where it is strained and its cores are busy; past the hopeless mark always, as timed-out work goes on.
     private void learnStrain(Node node, Statement statement, Span took) {
         double latest = Math.min(5, took.over(statement.terms.slo()));
         double strain = strain(node) + weight(node.strained.since()) * (latest - strain(node));
@@ -843,9 +841,8 @@
     }
 
     // An error may be the node's or the statement's own. What erred once and then went through shows that the
-    // node failed; what errs at a second node, neither known to fail, is held to be worthless anywhere: no
-    // node is blamed for it and nothing more is spent on it. Wrong where several nodes begin to fail at once,
-    // and then only until some statement has gone through.
+    // node failed; what errs at a second node, neither known to fail, is held to be worthless anywhere and no
+    // node blamed. Wrong where several nodes begin to fail at once, until some statement has gone through.
     private void judgeError(Statement statement, int execution, Ending ending) {
         if (ending == Ending.ERROR) {
             statement.erred[execution] = true;
@@ -863,8 +860,12 @@
         if (role == Role.PRIMARY) {
             // Answers can overtake each other: counted from the sending, a claim undoes no later denial.
             node.claimed = node.claimed.later(sent);
-        } else if (role == Role.REPLICA || ending == Ending.MISS && statement.terms.needs() == Needs.WRITE) {
-            node.denied = now;
+        } else if (ending == Ending.MISS && statement.terms.needs() == Needs.WRITE) {
+            // It turns writes away before it stops calling itself primary: believed at once, every such claim
+            // cost what was held one more execution.
+            node.denied = now.plus(SECOND);
+        } else if (role == Role.REPLICA) {
+            node.denied = node.denied.later(now);
         }
         if (node.denied.isAfter(node.claimed)) {
             lose(node);
@@ -893,8 +894,8 @@
     private void up(Node node) {
         node.pollMisses = 0;
         if (now.since(node.refusedAt).isShorterThan(SECOND)) {
-            // It refused a connection at once and yet answers: at its limit, not gone. One alone is no sign of
-            // that: some always break, and letting go for it opened a connection for every second execution.
+            // It refused a connection at once and yet answers: at its limit, not gone. One shows nothing:
+            // some always break, and letting go for it opened a connection for every second execution.
             node.refusedAt = Moment.LONG_AGO;
             scarce.move(now, REMEMBERED, 2 * LEARN, 1);
         }
@@ -942,9 +943,8 @@
         return Math.max(0, node.coldWork - faded);
     }
 
-    // The work a second that this router may add to a cold node. What warm members bear from this router is
-    // its share of what a node can do; every router keeping to its share, however uneven, the sum stays
-    // below. Where a whole group is cold, the warm nodes of the others are the yardstick.
+    // The work a second that this router may add to a cold node: what warm members bear from it is its share
+    // of what a node can do. Where a whole group is cold, the warm nodes of the others are the yardstick.
     private double coldRate(Node node) {
         double perSize = warmRate(node.group.members);
         double borne = (perSize > 0 ? perSize : warmRate(nodes)) * node.size;
@@ -966,8 +966,7 @@
 
     private boolean coldAllows(Node node, double work) {
         double burst = coldRate(node) * COLD_BURST * warmUp.topplesIn().over(SECOND);
-        double level = coldLevel(node);
-        return level <= 0 || level + work <= burst;
+        return coldLevel(node) <= 0 || coldLevel(node) + work <= burst;
     }
 
     // ---- Polls and waking.
--- a/src/test/java/basaltlever/HoldTest.java
+++ b/src/test/java/basaltlever/HoldTest.java
@@ -97,6 +97,51 @@
         check(world.rejected.equals(List.of(never)), "rejected before the client leaves");
     }
 
+    /** Found on sockets: a primary that steps down says so to writes long before its reports do. */
+    @Example
+    void aMemberThatMissedAWriteIsNotBelievedAtOnceToBePrimary() {
+        StandIn world = StandIn.plain().steady(20);
+        world.take(WRITE, 9, Moment.LONG_AGO, 4_000);
+        world.later(10).end(world.last(), Ending.MISS, Role.REPLICA);
+        for (int i = 0; i < 5; i++) {
+            world.later(100).poll(0, Role.PRIMARY, world.now);
+        }
+        check(world.sent.size() == 1, "each claim would cost one more execution");
+        world.later(600).poll(0, Role.PRIMARY, world.now);
+        check(world.sent.size() == 2, "but not for good");
+    }
+
+    /** Found on sockets: reads were kept for a while by replicas far behind and then rejected, the primary idle. */
+    @Example
+    void aReadGoesToThePrimaryWhereAllReplicasAreFarBehindOrMissedIt() {
+        StandIn world = new StandIn(true, true, true, false, true).steady(1_500);
+        int far = world.take(BOUNDED);
+        check(world.last().statement() == far && world.last().node() == 0, "no use in asking a replica");
+        world = new StandIn(true, true, true, false, true).steady(20);
+        int missed = world.take(BOUNDED);
+        Sent kept = world.last();
+        world.balance.polled(world.now, 0, Ending.COMPLETED, Role.PRIMARY, world.now, 1);
+        world.relist(3 - kept.node(), Listing.DRAINING, Moment.LONG_AGO);
+        world.later(45).end(kept, Ending.MISS, Role.REPLICA);
+        check(world.sent.size() == 1 && world.rejected.isEmpty(), "the primary is busy for now");
+        world.later(25).poll(0, Role.PRIMARY, world.now);
+        check(world.last().statement() == missed && world.last().node() == 0, "its turn after all");
+    }
+
+    /** Found on sockets: where the SLO time is short, patience was over before room was looked for again. */
+    @Example
+    void whatWaitsForRoomGetsItWhenAnExecutionEndsAndIsNotRejectedBeforeTheSecondLook() {
+        StandIn world = new StandIn(false, false, false, false, true, 2, 7, 80).steady(20);
+        int last = -1;
+        while (last < 0 || statements(world).contains(last)) {
+            last = world.take(ANY);
+        }
+        world.later(22);
+        check(world.rejected.isEmpty(), "it waits");
+        world.end(world.sent.get(0), Ending.COMPLETED, Role.UNTOLD);
+        check(world.last().statement() == last, "placed at once");
+    }
+
     /** Found on sockets: a group that only writes held for good after its primary had once been silent. */
     @Example
     void aPrimaryThatWasSilentIsTriedByAWriteWhereThereAreNoReads() {
--- a/src/test/java/basaltlever/StandIn.java
+++ b/src/test/java/basaltlever/StandIn.java
@@ -75,6 +75,7 @@
 
     Moment now = new Moment(1_000_000_000L);
     final Balance balance;
+    private final Span slo;
     final Workload[] workloads;
     final Replication replication;
     final Allowance allowance;
@@ -101,9 +102,8 @@
         return Span.ofMillis(millis);
     }
 
-    static Workload workload(Needs needs, Repeat repeat, double importance, double late) {
-        return new Workload(needs, ms(300), repeat, Within.GROUP, ms(600), ms(300), ms(2_000), importance,
-            late);
+    private Workload workload(Needs needs, Repeat repeat, double importance, double late) {
+        return new Workload(needs, ms(300), repeat, Within.GROUP, ms(600), slo, ms(2_000), importance, late);
     }
 
     StandIn(boolean check, boolean positions, boolean tokens, boolean asked, boolean copies) {
@@ -112,6 +112,12 @@
 
     StandIn(boolean check, boolean positions, boolean tokens, boolean asked, boolean copies, int routers,
             long seed) {
+        this(check, positions, tokens, asked, copies, routers, seed, 300);
+    }
+
+    StandIn(boolean check, boolean positions, boolean tokens, boolean asked, boolean copies, int routers,
+            long seed, int sloMillis) {
+        slo = ms(sloMillis);
         workloads = new Workload[] {workload(Needs.ANY, Repeat.IDEMPOTENT, 1, 0),
             workload(Needs.BOUNDED, Repeat.IDEMPOTENT, 2, 0.2),
             workload(Needs.SESSION, Repeat.IDEMPOTENT, 2, 0),
