--- a/src/main/java/basaltlever/net/ClientConnection.java
+++ b/src/main/java/basaltlever/net/ClientConnection.java
@@ -55,7 +55,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
-        clients.descriptors().idle(this, true);
+        clients.descriptors().unasked(this);
     }
 
     @Override
@@ -92,6 +92,12 @@
                 }
             }
             partSince = frames.size() == 0 ? Moment.NEVER : partSince.earlier(clients.now());
+            if (state == State.READY && asked && frames.size() == 0) {
+                clients.descriptors().idleClient(this);
+            } else if (state == State.READY && asked) {
+                // What has been read of a statement must not be lost with an idle connection.
+                clients.descriptors().busy(this);
+            }
             // A client may send more ahead, but not without end.
             context.channel().config().setAutoRead(frames.size() <= LARGEST);
         } catch (PgFault fault) {
@@ -151,7 +157,10 @@
     private void message(ByteBuf message) throws PgFault {
         byte type = message.readByte();
         message.skipBytes(4);
-        asked = true;
+        if (!asked) {
+            asked = true;
+            clients.descriptors().asks(this);
+        }
         partSince = Moment.NEVER;
         if (type == Pg.TERMINATE) {
             close();
@@ -255,7 +264,6 @@
         state = State.READY;
         idleSince = clients.now();
         partSince = frames.size() == 0 ? Moment.NEVER : idleSince;
-        clients.descriptors().idle(this, true);
     }
 
     /** Between statements a client's connection may be closed; what crosses that, the client sends again. */
@@ -299,6 +307,9 @@
         if (state != State.CLOSED) {
             state = State.CLOSED;
             frames.release();
+            if (asked) {
+                clients.descriptors().asksNoMore();
+            }
             clients.left(this, taken);
             taken = null;
         }
--- a/src/main/java/basaltlever/net/Descriptors.java
+++ b/src/main/java/basaltlever/net/Descriptors.java
@@ -6,7 +6,7 @@
 
 /**
  * Shares the file descriptors between clients and nodes. Where they run out, the connection that has been
- * idle longest makes room, first one to a node, since it is the router's own; else the newcomer gets none.
+ * idle longest makes room: first one whose client never asked, then one to a node; else the newcomer goes.
  */
 final class Descriptors {
     /** Idle and open connections, longest idle first. */
@@ -18,11 +18,18 @@
 
     /** Below this share of the descriptors idle clients are left alone, however long. */
     private static final int FEW = 8;
+    /** This share of the descriptors is kept for connections to nodes. */
+    private static final int FOR_NODES = 4;
+    /** And so much of them may clients that have asked hold, busy or idle, before the idle are closed. */
+    private static final int FOR_CLIENTS = 4;
     private int most;
     private int open;
     private int clients;
+    private int asking;
     private final LinkedHashSet<Idle> idleNodes = new LinkedHashSet<>();
     private final LinkedHashSet<Idle> idleClients = new LinkedHashSet<>();
+    /** Of clients that have not sent a whole message yet: the oldest are most likely to say nothing ever. */
+    private final LinkedHashSet<Idle> unasked = new LinkedHashSet<>();
 
     Descriptors(int most) {
         this.most = most;
@@ -33,9 +40,12 @@
         most = now;
     }
 
-    /** Each statement needs one connection to its client and one to a node, so neither gets beyond half. */
+    /**
+     * Clients may hold all but a share kept for nodes. At a half of all, connections that say nothing pushed out
+     * those in use, each of which then came back on a new one.
+     */
     boolean admitsClient() {
-        if (clients >= most / 2 && !evict(idleClients) || open >= most && !evictAny()) {
+        if (clients >= most - most / FOR_NODES && !evictClient() || open >= most && !evictAny()) {
             return false;
         }
         clients++;
@@ -60,13 +70,38 @@
         open--;
     }
 
-    void idle(Idle connection, boolean client) {
-        (client ? idleClients : idleNodes).add(connection);
+    void idleNode(Idle connection) {
+        idleNodes.add(connection);
+    }
+
+    /** One that has asked nothing yet. */
+    void unasked(Idle connection) {
+        unasked.add(connection);
+    }
+
+    void asks(Idle connection) {
+        unasked.remove(connection);
+        asking++;
+    }
+
+    void asksNoMore() {
+        asking--;
+    }
+
+    /**
+     * Clients are held to a third of the descriptors. Where they open a connection for each statement and keep
+     * it, those keep the next ones out, so the longest idle goes at once.
+     */
+    void idleClient(Idle connection) {
+        idleClients.add(connection);
+        if (asking > most / FOR_CLIENTS) {
+            evict(idleClients);
+        }
     }
 
     void busy(Idle connection) {
-        if (!idleNodes.remove(connection)) {
-            idleClients.remove(connection);
+        if (!idleNodes.remove(connection) && !idleClients.remove(connection)) {
+            unasked.remove(connection);
         }
     }
 
@@ -75,14 +110,18 @@
      * clients may well be held to fewer connections than this router could admit.
      */
     void shed(Moment now, Span idleFor) {
-        while (clients > most / FEW && !idleClients.isEmpty()
-            && now.since(idleClients.iterator().next().idleSince()).isLongerThan(idleFor)) {
+        for (int over = clients - most / FEW; over > 0 && !idleClients.isEmpty()
+            && now.since(idleClients.iterator().next().idleSince()).isLongerThan(idleFor); over--) {
             evict(idleClients);
         }
     }
 
     private boolean evictAny() {
-        return evict(idleNodes) || evict(idleClients);
+        return evict(unasked) || evict(idleNodes) || evict(idleClients);
+    }
+
+    private boolean evictClient() {
+        return evict(unasked) || evict(idleClients);
     }
 
     private static boolean evict(LinkedHashSet<Idle> from) {
--- a/src/main/java/basaltlever/net/NodeLink.java
+++ b/src/main/java/basaltlever/net/NodeLink.java
@@ -108,7 +108,7 @@
             return;
         }
         idle.addFirst(connection);
-        descriptors.idle(connection, false);
+        descriptors.idleNode(connection);
         sweepLater();
     }
 
--- a/src/test/java/basaltlever/RouterTest.java
+++ b/src/test/java/basaltlever/RouterTest.java
@@ -297,6 +297,47 @@
         }
     }
 
+    /** Found on sockets (an incident): a new connection for each statement, all kept by their clients. */
+    @Example
+    void clientsThatAskOnceAndStayAreClosedAsOthersComeAndNoStatementIsLost() throws Exception {
+        List<Client> once = new ArrayList<>();
+        try (SocketWorld world = new SocketWorld(); Client used = new Client(world.port)) {
+            check(used.start().answer().isEmpty(), "the start");
+            for (int i = 0; i < 90; i++) {
+                Client client = new Client(world.port).start().ask(statement("o" + i, "view", 900));
+                once.add(client);
+                check(client.answer().isEmpty() && client.answer().equals("row:o" + i), "each is answered");
+                check(used.ask(statement("p" + i, "view", 900)).answer().equals("row:p" + i), "used: kept");
+            }
+            long start = System.nanoTime();
+            check(once.get(20).answer().equals("closed"), "the longest idle");
+            check(System.nanoTime() - start < 200_000_000L, "at once");
+        } finally {
+            for (Client client : once) {
+                client.close();
+            }
+        }
+    }
+
+    /** Found on sockets (an incident): connections that say nothing pushed out those in use. */
+    @Example
+    void connectionsThatSayNothingMakeRoomBeforeThoseThatAsked() throws Exception {
+        List<Client> silent = new ArrayList<>();
+        try (SocketWorld world = new SocketWorld(); Client used = new Client(world.port)) {
+            check(used.start().answer().isEmpty(), "the start");
+            check(used.ask(statement("n1", "view", 900)).answer().equals("row:n1"), "in use");
+            for (int i = 0; i < 300; i++) {
+                silent.add(new Client(world.port));
+            }
+            check(used.ask(statement("n2", "view", 900)).answer().equals("row:n2"), "still here");
+            check(silent.get(0).answer().equals("closed"), "the oldest that said nothing made room");
+        } finally {
+            for (Client client : silent) {
+                client.close();
+            }
+        }
+    }
+
     @Example
     void aDrainingRouterAnswersAllItTookAndStops() throws Exception {
         SocketWorld world = new SocketWorld();
