--- a/src/main/java/basaltlever/net/Descriptors.java
+++ b/src/main/java/basaltlever/net/Descriptors.java
@@ -41,8 +41,8 @@
     }
 
     /**
-     * Clients may hold all but a share kept for nodes. At a half of all, connections that say nothing pushed out
-     * those in use, each of which then came back on a new one.
+     * Clients may hold all but a share kept for nodes. At a half of all, connections that say nothing pushed
+     * out those in use, each of which then came back on a new one.
      */
     boolean admitsClient() {
         if (clients >= most - most / FOR_NODES && !evictClient() || open >= most && !evictAny()) {
@@ -89,8 +89,8 @@
     }
 
     /**
-     * Clients are held to a third of the descriptors. Where they open a connection for each statement and keep
-     * it, those keep the next ones out, so the longest idle goes at once.
+     * Clients are held to a third of the descriptors. Where they open a connection for each statement and
+     * keep it, those keep the next ones out, so the longest idle goes at once.
      */
     void idleClient(Idle connection) {
         idleClients.add(connection);
