--- a/src/main/java/basaltlever/net/NodeLink.java
+++ b/src/main/java/basaltlever/net/NodeLink.java
@@ -59,11 +59,8 @@
     void start(Job job) {
         // What a node sends unasked right behind an answer, or that it closes then, has shown by now on the
         // longest idle; on the latest it would meet the next query.
+        closeStale();
         NodeConnection next = idle.peekLast();
-        while (next != null && isStale(next)) {
-            next.close();
-            next = idle.peekLast();
-        }
         if (next == null) {
             open(job);
         } else {
@@ -73,8 +70,10 @@
         }
     }
 
-    private boolean isStale(NodeConnection connection) {
-        return now().since(connection.idleSince()).isLongerThan(keptFor);
+    private void closeStale() {
+        while (!idle.isEmpty() && !now().since(idle.peekLast().idleSince()).isShorterThan(keptFor)) {
+            idle.peekLast().close();
+        }
     }
 
     private void open(Job job) {
@@ -132,9 +131,7 @@
 
     private void sweep() {
         sweeping = false;
-        while (!idle.isEmpty() && !now().since(idle.peekLast().idleSince()).isShorterThan(keptFor)) {
-            idle.peekLast().close();
-        }
+        closeStale();
         sweepLater();
     }
 
