What a router has learned outlives its process: view, file, keeper, operator's file, events

Need: after a restart a router sends to the nodes that were failing, spends a cold node's budget again and learns at rush hour what it knew a second before.

The operator's INI file with reload; log lines as events with fields; state show, verify, diff. Libraries for these stand in lib/operator, off the class path.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -11,6 +11,8 @@
 import basaltlever.model.Statement;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
+import basaltlever.view.GroupView;
+import basaltlever.view.NodeView;
 import java.util.*;
 import java.util.function.BooleanSupplier;
 
@@ -152,6 +154,7 @@
             node.group = home;
             home.members.add(node);
         }
+        node.listedStart = startedAt;
         node.zone = zone;
         node.size = size > 0 && size < 1e9 ? size : 1;
         node.listedIn = listing;
@@ -178,6 +181,83 @@
         settle();
     }
 
+    /** What has been learned of a node by now, without a word on who it is. */
+    public NodeView learned(Moment at, int id) {
+        now = at;
+        Node node = nodes.get(id);
+        Group home = node.group;
+        Moment denied = home.lost == node ? node.denied.later(home.holdSince) : node.denied;
+        boolean cold = warmth(node) < 1;
+        return new NodeView(home.number, Math.max(0, node.listedStart.micros()), !listedForUse(node), home.primary == node,
+            ago(node.startedAt), ago(denied), node.silent, node.down ? ago(node.downSince) : NodeView.NEVER,
+            Math.min(1, failing(node)), node.strained.at(now, FORGIVEN), node.room, node.fullInRow,
+            node.restsUntil.since(now).longer(Span.NONE), lag(node),
+            cold ? node.coldWork / typicalOfAll : 0, cold ? ago(node.coldAt) : NodeView.NEVER);
+    }
+
+    private Span ago(Moment then) {
+        return then.isAfter(Moment.LONG_AGO) ? now.since(then) : NodeView.NEVER;
+    }
+
+    public List<GroupView> learnedOfGroups(Moment at) {
+        now = at;
+        return groups.values().stream().sorted(Comparator.comparingInt(group -> group.number))
+            .map(group -> new GroupView(group.number, group.jam.at(now, REMEMBERED),
+                group.primaryJam.at(now, REMEMBERED))).toList();
+    }
+
+    /**
+     * What another process learned of a node that was listed just now, aged by the caller. It only ever makes for more
+     * care: no position, role or warmth of it is believed, and of each bound the tighter one holds.
+     */
+    public void recalled(Moment at, int id, NodeView view) {
+        now = at;
+        Node node = nodes.get(id);
+        node.denied = node.denied.later(then(view.deniedAgo()).earlier(now.plus(SECOND)));
+        node.failing.set(now, Math.max(failing(node), view.failing()));
+        node.strained.set(now, Math.max(node.strained.at(now, FORGIVEN), view.strained()));
+        node.room = Math.max(LEAST_ROOM, Math.min(node.room, view.room()));
+        node.fullInRow = Math.min(5, Math.max(node.fullInRow, view.turnedAway()));
+        node.restsUntil = node.restsUntil.later(now.plus(view.rests().shorter(SECOND)));
+        sight(node, lag(node).longer(view.lag()));
+        if (view.silent() && !node.silent) {
+            fallSilent(node);
+        }
+        if (view.isDown() && !node.down) {
+            goDown(node);
+            node.downSince = then(view.downFor());
+        }
+        starts(node, then(view.startedAgo()));
+        if (warmth(node) < 1) {
+            // Of what has come back since, only what the least rate gives: the yardstick is not yet known here.
+            Moment since = then(view.coldAgo()).later(Moment.LONG_AGO).earlier(now);
+            double back = coldRate(node) * (1 - COLD_BURST) * now.since(since).over(SECOND);
+            node.coldWork = Math.max(coldLevel(node), view.coldSpent() * typicalOfAll - back);
+            node.coldAt = now;
+        }
+        if (view.drains() && node.listing != Listing.GONE) {
+            node.drainSeen = true;
+            relist(node, Listing.DRAINING);
+        }
+        if (view.primary() && allowance.polls() && !node.pollOut) {
+            // Asked before all others, in whatever order the list names them.
+            poll(node);
+        }
+    }
+
+    private Moment then(Span ago) {
+        return ago.isShorterThan(NodeView.NEVER) ? now.minus(ago) : Moment.LONG_AGO;
+    }
+
+    public void recalled(Moment at, GroupView view) {
+        now = at;
+        Group group = groups.get(view.group());
+        if (group != null) {
+            group.jam.set(now, Math.max(group.jam.at(now, REMEMBERED), view.jam()));
+            group.primaryJam.set(now, Math.max(group.primaryJam.at(now, REMEMBERED), view.primaryJam()));
+        }
+    }
+
     /** The notice does not tell whether the watch still stands, so it is asked for anew in any case. */
     public void listFailed(Moment at) {
         now = at;
@@ -993,16 +1073,21 @@
                 pollMissed(node, false);
             }
             if (!node.pollOut && !now.isBefore(node.pollDue)) {
-                node.pollOut = true;
-                node.pollSent = now;
-                node.pollDue = now.plus(pollPeriod(node).times(0.75 + 0.5 * chance.nextDouble()));
-                outbound.poll(node.id);
+                poll(node);
             }
             pollDue = pollDue.earlier(node.pollOut ? node.pollSent.plus(SECOND).plus(SCAN)
                 : node.pollDue);
         }
     }
 
+    private void poll(Node node) {
+        node.pollOut = true;
+        node.pollSent = now;
+        node.pollDue = now.plus(pollPeriod(node).times(0.75 + 0.5 * chance.nextDouble()));
+        pollDue = pollDue.earlier(node.pollSent.plus(SECOND).plus(SCAN));
+        outbound.poll(node.id);
+    }
+
     // Often enough to show replicas inside the tightest bound, as far as the polls bear a price that goes
     // with what this router itself has to send: then all routers together stay below it, however many.
     private Span pollPeriod(Node node) {
--- a/router/src/main/java/basaltlever/cli/Main.java
+++ b/router/src/main/java/basaltlever/cli/Main.java
@@ -2,6 +2,7 @@
 
 import basaltlever.adapter.Adapter;
 import basaltlever.adapter.WireFault;
+import basaltlever.config.OperatorFile;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
 import basaltlever.net.Router;
@@ -19,6 +20,9 @@
 /** The command line: picks what stands in front of the decisions. */
 public final class Main {
     private static final int MISUSED = 2;
+    private static final String PROVIDER = "slf4j.provider";
+    private static final String PLAIN = "org.slf4j.simple.SimpleServiceProvider";
+    private static final String JSON = "ch.qos.logback.classic.spi.LogbackServiceProvider";
 
     private Main() {
     }
@@ -27,12 +31,16 @@
     private static final class Serve {
         @Parameter(names = "--file", description = "start file; $GW_CONFIG where it is not given")
         private String file = System.getenv("GW_CONFIG");
+        @Parameter(names = "--operator", description = "the operator's own file, INI; none where it is not given")
+        private String operator;
     }
 
     @Parameters(commandDescription = "Reads a start file and names all that is wrong with it")
     private static final class Check {
         @Parameter(description = "FILE", required = true)
         private List<String> files = new ArrayList<>();
+        @Parameter(names = "--operator", description = "an operator's file to check as well")
+        private String operator;
     }
 
     @Parameters(commandDescription = "Starts a router, has it answer one statement and stops it")
@@ -47,6 +55,10 @@
     private static final class Bench {
     }
 
+    @Parameters(commandDescription = "Shows, checks and compares what a router has kept: state show, verify, diff")
+    private static final class State {
+    }
+
     @Parameters(commandDescription = "Prints the version")
     private static final class Version {
     }
@@ -55,14 +67,17 @@
     private static final class Help {
     }
 
-    public static void main(String[] args) throws InterruptedException {
+    public static void main(String[] args) throws InterruptedException, IOException {
         Serve serve = new Serve();
         Check check = new Check();
         Rehearse rehearse = new Rehearse();
         JCommander line = JCommander.newBuilder().programName("basaltlever")
             .addCommand("serve", serve).addCommand("check", check).addCommand("rehearse", rehearse)
             .addCommand("adapter", new Bench())
+            .addCommand("state", new State())
             .addCommand("version", new Version()).addCommand("help", new Help()).build();
+        StateCommand state = new StateCommand();
+        state.joins(line);
         try {
             line.parse(args);
         } catch (ParameterException fault) {
@@ -71,11 +86,17 @@
             System.exit(MISUSED);
         }
         String command = line.getParsedCommand();
+        boolean extra = serve.operator != null || check.operator != null || "state".equals(command);
+        if (extra && !Extras.areHere()) {
+            Extras.mainWith(args);
+            return;
+        }
         switch (command == null ? "" : command) {
-            case "serve" -> serve(serve.file);
-            case "check" -> check(check.files);
+            case "serve" -> serve(serve.file, serve.operator);
+            case "check" -> check(check.files, check.operator);
             case "rehearse" -> rehearse(rehearse.file, rehearse.workload);
             case "adapter" -> adapter();
+            case "state" -> System.exit(state.run(System.out, System.err));
             case "version" -> System.out.println("basaltlever " + Main.class.getPackage()
                 .getImplementationVersion());
             case "help" -> line.usage();
@@ -86,11 +107,20 @@
         }
     }
 
-    private static void serve(String file) throws InterruptedException {
+    private static void serve(String file, String operator) throws InterruptedException {
         if (file == null) {
             System.err.println("basaltlever: no start file: set GW_CONFIG or give --file");
             System.exit(MISUSED);
         }
+        OperatorFile with = null;
+        if (operator != null) {
+            try {
+                with = OperatorFile.read(Path.of(operator));
+            } catch (StartFault fault) {
+                refuse(fault);
+            }
+        }
+        logsBy(with != null && with.logsJson() ? JSON : PLAIN);
         Router router = new Router();
         Thread drain = new Thread(() -> {
             router.drain();
@@ -107,18 +137,20 @@
         Semaphore asked = new Semaphore(0);
         Signal.handle(new Signal("HUP"), signal -> asked.release());
         try {
-            router.start(Path.of(file));
+            router.start(Path.of(file), with);
         } catch (StartFault | RuntimeException fault) {
-            System.err.println("basaltlever: "
-                + String.valueOf(fault.getMessage()).replace("\n", "\nbasaltlever: "));
             Runtime.getRuntime().removeShutdownHook(drain);
-            System.exit(MISUSED);
+            refuse(fault);
         }
         Thread reload = new Thread(() -> {
             while (true) {
                 asked.acquireUninterruptibly();
                 asked.drainPermits();
-                router.reload();
+                try {
+                    router.reload();
+                } catch (InterruptedException ended) {
+                    return;
+                }
             }
         }, "reload");
         reload.setDaemon(true);
@@ -126,21 +158,45 @@
         router.awaitStop();
     }
 
-    private static void check(List<String> files) {
-        boolean sound = true;
+    private static void refuse(Exception fault) {
+        System.err.println("basaltlever: "
+            + String.valueOf(fault.getMessage()).replace("\n", "\nbasaltlever: "));
+        System.exit(MISUSED);
+    }
+
+    /** To be said before the first line is logged; what the command line itself says goes first. */
+    private static void logsBy(String provider) {
+        if (System.getProperty(PROVIDER) == null) {
+            System.setProperty(PROVIDER, provider);
+            System.setProperty("slf4j.internal.verbosity", "WARN");
+        }
+    }
+
+    private interface Reading {
+        void read() throws StartFault;
+    }
+
+    private static void check(List<String> files, String operator) {
+        boolean sound = operator == null || isSound(operator, () -> OperatorFile.read(Path.of(operator)));
         for (String file : files) {
-            try {
-                StartFile.read(Path.of(file));
-                System.out.println(file + " is sound");
-            } catch (StartFault fault) {
-                sound = false;
-                System.err.println(fault.getMessage());
-            }
+            sound &= isSound(file, () -> StartFile.read(Path.of(file)));
         }
         System.exit(sound ? 0 : MISUSED);
     }
 
+    private static boolean isSound(String file, Reading reading) {
+        try {
+            reading.read();
+            System.out.println(file + " is sound");
+            return true;
+        } catch (StartFault fault) {
+            System.err.println(fault.getMessage());
+            return false;
+        }
+    }
+
     private static void rehearse(String file, String workload) throws InterruptedException {
+        logsBy(PLAIN);
         try {
             System.out.println("answered: " + Rehearsal.run(Path.of(file), workload));
         } catch (StartFault | IOException fault) {
--- a/router/src/main/java/basaltlever/cli/Rehearsal.java
+++ b/router/src/main/java/basaltlever/cli/Rehearsal.java
@@ -26,7 +26,7 @@
     /** The code or letter of the answer to a statement of the named workload. */
     static String run(Path file, String workload) throws StartFault, IOException, InterruptedException {
         Router router = new Router();
-        router.start(file);
+        router.start(file, null);
         try (Socket socket = new Socket(router.address().getAddress(), router.address().getPort())) {
             socket.setSoTimeout(PATIENCE_MILLIS);
             ByteBuf out = Unpooled.buffer();
--- a/router/src/main/java/basaltlever/config/Addresses.java
+++ b/router/src/main/java/basaltlever/config/Addresses.java
@@ -11,6 +11,11 @@
     private Addresses() {
     }
 
+    /** One text for each address, however the list wrote it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** The address, or null where the text is none. */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
--- /dev/null
+++ b/router/src/main/java/basaltlever/config/OperatorFile.java
@@ -0,0 +1,180 @@
+package basaltlever.config;
+
+import basaltlever.time.Span;
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeSet;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.text.similarity.LevenshteinDistance;
+
+/**
+ * The operator's own file, INI: what the platform does not tell a router. Read whole and checked whole; each fault is
+ * named by file, section and key. Without it none of this is loaded.
+ */
+public final class OperatorFile {
+    private static final long LARGEST = 1 << 20;
+    private static final int CLOSE = 3;
+    private static final List<String> FORMS = List.of("plain", "json");
+
+    /** Every key there is, by section.key, with the value it takes where the file has none. */
+    static final Map<String, String> KEYS = keys();
+
+    private final Map<String, String> values = new LinkedHashMap<>(KEYS);
+    private final Path path;
+    private final Path folder;
+    private final String deployment;
+    private final Span period;
+    private final int mostBytes;
+    private final boolean json;
+
+    private static Map<String, String> keys() {
+        Map<String, String> keys = new LinkedHashMap<>();
+        keys.put("log.form", "plain");
+        keys.put("state.folder", "");
+        keys.put("state.deployment", "");
+        keys.put("state.period_ms", "5000");
+        keys.put("state.largest_kb", "4096");
+        return keys;
+    }
+
+    private OperatorFile(Path path, INIConfiguration ini, List<String> faults) {
+        this.path = path;
+        String above = path + ": ";
+        for (String section : new TreeSet<>(ini.getSections().stream().map(String::valueOf).toList())) {
+            // Keys before any section have none: the library names that section null.
+            var keys = section.equals("null") ? ini.getSection(null) : ini.getSection(section);
+            for (Iterator<String> names = keys.getKeys(); names.hasNext();) {
+                String key = names.next();
+                // The library doubles the dots in names, which mean a level to it.
+                String full = section + "." + key.replace("..", ".");
+                if (!KEYS.containsKey(full)) {
+                    faults.add(above + "[" + section + "] " + key.replace("..", ".") + " is no key" + nearest(full));
+                } else if (keys.getList(key).size() > 1) {
+                    faults.add(above + "[" + section + "] " + key + " is given more than once");
+                } else {
+                    values.put(full, keys.getString(key).trim());
+                }
+            }
+        }
+        Keys keys = Keys.ofTree(above, values, faults);
+        json = keys.choice("log.form", values.get("log.form"), FORMS) == 1;
+        folder = folder(keys);
+        deployment = values.get("state.deployment");
+        if (deployment.length() > 200) {
+            keys.fault("state.deployment is longer than 200 characters");
+        }
+        period = Span.ofMillis(keys.number("state.period_ms", 100, 3_600_000));
+        mostBytes = (int) keys.number("state.largest_kb", 16, 16_384) * 1_024;
+    }
+
+    private static Path folder(Keys keys) {
+        String text = keys.text("state.folder");
+        if (text.isEmpty()) {
+            return null;
+        }
+        try {
+            return Path.of(text);
+        } catch (java.nio.file.InvalidPathException fault) {
+            keys.fault("state.folder can't be read: " + text + "; it takes the path of a folder");
+            return null;
+        }
+    }
+
+    private static String nearest(String wrong) {
+        LevenshteinDistance distance = new LevenshteinDistance();
+        String best = null;
+        int least = Integer.MAX_VALUE;
+        for (String key : KEYS.keySet()) {
+            int apart = distance.apply(wrong, key);
+            if (apart < least) {
+                least = apart;
+                best = key;
+            }
+        }
+        String[] parts = best.split("\\.", 2);
+        return (least <= CLOSE ? "; did you mean [" : "; the nearest is [") + parts[0] + "] " + parts[1] + "?";
+    }
+
+    public static OperatorFile read(Path path) throws StartFault {
+        try {
+            if (Files.isDirectory(path) || Files.size(path) > LARGEST) {
+                throw new StartFault(List.of(path + " is no file of up to " + LARGEST + " bytes"));
+            }
+            return of(path, Files.readString(path, StandardCharsets.UTF_8));
+        } catch (IOException cause) {
+            throw new StartFault(List.of(path + " can't be read: " + cause));
+        }
+    }
+
+    static OperatorFile of(Path path, String text) throws StartFault {
+        List<String> faults = new ArrayList<>();
+        try {
+            lines(path, text, faults);
+            INIConfiguration ini = new INIConfiguration();
+            ini.read(new StringReader(text));
+            OperatorFile file = new OperatorFile(path, ini, faults);
+            if (faults.isEmpty()) {
+                return file;
+            }
+        } catch (ConfigurationException | IOException | RuntimeException cause) {
+            faults.add(path + " is no INI file: " + cause.getMessage());
+        }
+        throw new StartFault(faults);
+    }
+
+    // The library takes a line without a value for an empty one, which would switch off what the operator meant.
+    private static void lines(Path path, String text, List<String> faults) {
+        String[] lines = text.split("\n");
+        for (int i = 0; i < lines.length; i++) {
+            String line = lines[i].trim();
+            boolean comment = line.isEmpty() || line.startsWith("#") || line.startsWith(";");
+            if (!comment && !(line.startsWith("[") && line.endsWith("]")) && line.indexOf('=') <= 0) {
+                faults.add(path + ": line " + (i + 1) + " is neither [section] nor key = value");
+            }
+        }
+    }
+
+    /** The keys that differ from the other file and that a running router can't take over. */
+    public List<String> restartsFor(OperatorFile other) {
+        return values.keySet().stream().filter(key -> key.startsWith("log.") || key.equals("state.deployment"))
+            .filter(key -> !Objects.equals(values.get(key), other.values.get(key))).toList();
+    }
+
+    public Path path() {
+        return path;
+    }
+
+    /** Where the view is kept; null where it is not. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** What tells the views of one fleet from another's. */
+    public String deployment() {
+        return deployment;
+    }
+
+    /** How often a view is written, on average. */
+    public Span period() {
+        return period;
+    }
+
+    public int mostBytes() {
+        return mostBytes;
+    }
+
+    /** Whether log lines are JSON. */
+    public boolean logsJson() {
+        return json;
+    }
+}
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -7,12 +7,15 @@
 import basaltlever.gateway.Role;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
+import basaltlever.view.GroupView;
+import basaltlever.view.NodeView;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 
 /**
@@ -70,6 +73,24 @@
         return nodeIndices.size();
     }
 
+    /** What was known of a node before this process, right after it is listed. */
+    public void recalled(Moment now, N node, NodeView view) {
+        balance.recalled(now, nodeIndices.get(node), view);
+    }
+
+    public void recalled(Moment now, List<GroupView> groups) {
+        groups.forEach(group -> balance.recalled(now, group));
+    }
+
+    /** What has been learned of each node by now, and of the groups. */
+    public void learned(Moment now, BiConsumer<N, NodeView> each) {
+        nodeIndices.forEach((node, index) -> each.accept(node, balance.learned(now, index)));
+    }
+
+    public List<GroupView> learnedOfGroups(Moment now) {
+        return balance.learnedOfGroups(now);
+    }
+
     public void listEnds(Moment now, boolean complete, boolean asked) {
         balance.listEnds(now, complete, asked);
     }
--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -6,6 +6,8 @@
 import basaltlever.json.Json;
 import basaltlever.json.JsonFault;
 import basaltlever.time.Moment;
+import basaltlever.view.NodeView;
+import basaltlever.view.Recollection;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -19,6 +21,7 @@
     private final List<String> zones;
     private final BiConsumer<String, InetSocketAddress> addresses;
     private long generation;
+    private Recollection recollection = Recollection.NONE;
 
     /** Hands each member's address on as it comes. */
     public MemberList(Core<String> core, List<String> zones,
@@ -38,6 +41,11 @@
         generation = 0;
     }
 
+    /** What an earlier process knew of the members, until a list that was asked for has come. */
+    public void recalls(Recollection from) {
+        recollection = from;
+    }
+
     public static Map<?, ?> parse(String line) throws ListFault {
         try {
             if (Json.read(line) instanceof Map<?, ?> list) {
@@ -72,6 +80,7 @@
             number(member, "startedAtMs", 0);
         }
         generation = version;
+        boolean drainsBind = false;
         core.listBegins();
         for (Object entry : entries) {
             Map<?, ?> member = (Map<?, ?>) entry;
@@ -84,6 +93,20 @@
             core.listed(now, id, state(member), (int) number(member, "cell", 0),
                 zones.indexOf(member.get("zone")), number(member, "weight", 1),
                 startedAt == 0 ? Moment.LONG_AGO : new Moment(startedAt * 1_000));
+            NodeView known = address == null ? null : recollection.of(id, Addresses.text(address),
+                startedAt * 1_000, version, asked);
+            if (known != null) {
+                core.recalled(now, id, known);
+                drainsBind |= known.drains();
+            }
+        }
+        core.recalled(now, recollection.groups());
+        if (drainsBind) {
+            // Only the whole list says whether that is over: changes after this version may not name the node.
+            forget();
+        }
+        if (asked) {
+            recollection = Recollection.NONE;
         }
         core.listEnds(now, whole, asked);
     }
--- /dev/null
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -0,0 +1,53 @@
+package basaltlever.log;
+
+import org.slf4j.Logger;
+import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * Every line that a router logs above debug, by its event's name and the names of its fields; docs/events.md lists
+ * them and a test holds the two together. Text may change, these may not.
+ */
+public enum Event {
+    PHASE("phase", "phase", "after"),
+    SERVES("serves", "router", "address"),
+    RELOADED("reloaded", "discovery"),
+    RELOAD_REFUSED("reload_refused", "cause"),
+    NEEDS_RESTART("needs_restart", "key"),
+    KNOWN_LEFT_OUT("known_left_out", "cause"),
+    PRIMARY_FOUND("primary_found", "group", "node"),
+    PRIMARY_LOST("primary_lost", "group", "node"),
+    WATCH_FAILED("watch_failed", "cause"),
+    NODE_BAD("node_bad", "node", "cause", "more"),
+    CLIENT_BAD("client_bad", "client", "cause", "more"),
+    FAULT("fault", "doing"),
+    VIEW_TAKEN("view_taken", "file", "age_ms", "nodes", "weight"),
+    VIEW_LEFT_OUT("view_left_out", "cause"),
+    VIEW_NOT_KEPT("view_not_kept", "folder", "cause", "more"),
+    VIEW_FOLDER_HELD("view_folder_held", "folder");
+
+    public final String key;
+    public final String[] fields;
+
+    Event(String key, String... fields) {
+        this.key = key;
+        this.fields = fields;
+    }
+
+    /** One line, with the values of the event's fields in their order. */
+    public void log(Logger log, Level level, String text, Object... values) {
+        line(log, level, values).log(text);
+    }
+
+    public void fault(Logger log, String text, Throwable cause, Object... values) {
+        line(log, Level.ERROR, values).setCause(cause).log(text);
+    }
+
+    private LoggingEventBuilder line(Logger log, Level level, Object... values) {
+        LoggingEventBuilder line = log.atLevel(level).addKeyValue("event", key);
+        for (int i = 0; i < fields.length; i++) {
+            line = line.addKeyValue(fields[i], String.valueOf(values[i]));
+        }
+        return line;
+    }
+}
--- a/router/src/main/java/basaltlever/net/Tally.java
+++ b/router/src/main/java/basaltlever/log/Tally.java
@@ -1,28 +1,33 @@
-package basaltlever.net;
+package basaltlever.log;
 
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
+import org.slf4j.event.Level;
 
 /** Log lines that others can cause at will: one a second at most, which says how many it stands for. */
-final class Tally {
+public final class Tally {
     private static final Span APART = Span.ofMillis(1_000);
     private final Logger log;
-    private final Clock clock;
+    private final Event event;
+    private final Supplier<Moment> clock;
     private Moment last = Moment.LONG_AGO;
     private int passedOver;
 
-    Tally(Logger log, Clock clock) {
+    /** The event has three fields: whose line it is, what happened, how many more there were. */
+    public Tally(Logger log, Event event, Supplier<Moment> clock) {
         this.log = log;
+        this.event = event;
         this.clock = clock;
     }
 
-    void note(Object whose, String what) {
-        Moment now = clock.now();
+    public void note(Object whose, String what) {
+        Moment now = clock.get();
         if (now.since(last).isShorterThan(APART)) {
             passedOver++;
         } else {
-            log.info("{}: {}; {} more since the last such line", whose, what, passedOver);
+            event.log(log, Level.INFO, "", whose, what, passedOver);
             last = now;
             passedOver = 0;
         }
--- a/router/src/main/java/basaltlever/model/Node.java
+++ b/router/src/main/java/basaltlever/model/Node.java
@@ -51,6 +51,8 @@
     public final Fading lag = new Fading();
     public Moment silentSince = Moment.LONG_AGO;
 
+    /** As the list tells it, and as the router itself saw it where that is later. */
+    public Moment listedStart = Moment.LONG_AGO;
     public Moment startedAt = Moment.LONG_AGO;
     /** Work that it answered for this router, lately. */
     public final Fading borne = new Fading();
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -5,6 +5,7 @@
 import basaltlever.core.Outside;
 import basaltlever.gateway.Ending;
 import basaltlever.gateway.Role;
+import basaltlever.log.Event;
 import basaltlever.pg.Answer;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
@@ -19,6 +20,7 @@
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Carries out on sockets what the decisions want, and brings them what became of it. */
 final class Carrier implements Outside<String> {
@@ -84,7 +86,7 @@
         try {
             step.run();
         } catch (RuntimeException fault) {
-            LOG.error("fault while deciding on statement {}", taken.ticket, fault);
+            Event.FAULT.fault(LOG, "", fault, "deciding on statement " + taken.ticket);
             if (!taken.answered) {
                 turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the router failed", null));
                 left(taken);
@@ -183,7 +185,7 @@
 
     @Override
     public void primary(int group, String node, boolean found) {
-        LOG.info("group {} {} its primary {}", group, found ? "has found" : "has lost", links.apply(node));
+        (found ? Event.PRIMARY_FOUND : Event.PRIMARY_LOST).log(LOG, Level.INFO, "", group, links.apply(node));
     }
 
     // ---- What became of it.
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.log.Event;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
 import basaltlever.pg.Pg;
@@ -298,7 +299,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext in, Throwable cause) {
         if (!(cause instanceof java.io.IOException)) {
-            LOG.error("fault on the connection of client {}", in.channel().remoteAddress(), cause);
+            Event.FAULT.fault(LOG, "", cause, "talking to client " + in.channel().remoteAddress());
         }
         close();
     }
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.core.Core;
+import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
 import basaltlever.pg.PgFault;
--- a/router/src/main/java/basaltlever/net/NodeConnection.java
+++ b/router/src/main/java/basaltlever/net/NodeConnection.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.gateway.Ending;
+import basaltlever.log.Event;
 import basaltlever.pg.Answer;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
@@ -177,7 +178,7 @@
             spoilt = true;
             link.spoilt(cause.getMessage());
         } else if (!(cause instanceof java.io.IOException)) {
-            LOG.error("fault on a connection to {}", link, cause);
+            Event.FAULT.fault(LOG, "", cause, "talking to node " + link);
         }
         close();
     }
--- a/router/src/main/java/basaltlever/net/NodeLink.java
+++ b/router/src/main/java/basaltlever/net/NodeLink.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.gateway.Ending;
+import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
@@ -41,6 +42,11 @@
         this.keptFor = idleClose.minus(connectTimeout).longer(Span.NONE);
     }
 
+    /** Null where the list has not named one. */
+    InetSocketAddress address() {
+        return address;
+    }
+
     void spoilt(String what) {
         bad.note(this, what);
     }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -1,13 +1,23 @@
 package basaltlever.net;
 
+import basaltlever.config.Addresses;
+import basaltlever.config.OperatorFile;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
 import basaltlever.config.StartValues;
 import basaltlever.core.Core;
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
+import basaltlever.keep.Keeper;
+import basaltlever.keep.Machine;
+import basaltlever.log.Event;
+import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
+import basaltlever.time.Moment;
 import basaltlever.time.Span;
+import basaltlever.view.Known;
+import basaltlever.view.Recollection;
+import basaltlever.view.View;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -25,14 +35,18 @@
 import java.io.File;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** One router from its start file to its exit; its phase says how far it is. */
 public final class Router {
@@ -44,6 +58,7 @@
     private static final Span SWEEPS = Span.ofMillis(200);
     private static final Span LONGEST_LOOK = Span.ofMillis(1_000);
     private static final int LOOKS = 2;
+    private static final Span LONGEST_EXPORT = Span.ofMillis(1_000);
     private static final Span LOOK_AGAIN = Span.ofMillis(10);
     /** Sockets of the loop, the listener and discovery, and files that the runtime opens late. */
     private static final int RESERVED = 24;
@@ -56,6 +71,12 @@
     private Phase phase = Phase.READING;
     private Path file;
     private StartFile start;
+    private volatile OperatorFile operator;
+    /** Set by the thread that starts and reloads, ended by the loop. */
+    private volatile Keeper keeper;
+    private Turn turn;
+    private Core<String> core;
+    private MemberList list;
     private Watch watch;
     private Descriptors descriptors;
     private int reserved;
@@ -68,45 +89,108 @@
     private Span longestTimeout;
     private PooledByteBufAllocator buffers;
 
-    /** Reads, listens, and returns once it serves. */
-    public void start(Path from) throws StartFault, InterruptedException {
+    /** Reads, listens, and returns once it serves. The operator's file is null where there is none. */
+    public void start(Path from, OperatorFile with) throws StartFault, InterruptedException {
         file = from;
         start = StartFile.read(from);
+        operator = with;
+        keeper = keeper();
+        Recollection recollection = keeper == null ? Recollection.NONE : keeper.recall();
         enter(Phase.LOOKING);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = (SingleThreadEventLoop) group.next();
-        loop.submit(this::build).sync();
+        loop.submit(() -> build(recollection)).sync();
         Promise<Void> looked = loop.newPromise();
         loop.execute(() -> lookAround(looked, System.nanoTime()));
         looked.sync();
         ChannelFuture bound = loop.submit(this::listen).sync().getNow();
         if (!bound.await().isSuccess()) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            if (keeper != null) {
+                keeper.ends(null);
+            }
             throw new StartFault(List.of("listen: " + start.listen() + " can't be bound: "
                 + bound.cause().getMessage()));
         }
         listener = bound.channel();
         loop.submit(() -> enter(Phase.SERVING)).sync();
-        LOG.info("{} serves at {}", start.name(), address());
+        Event.SERVES.log(LOG, Level.INFO, "", start.name(), address());
+        if (keeper != null) {
+            keeper.keeps();
+        }
     }
 
-    /** Reads the start file again, off the loop, so that a slow disk holds nobody; a faulty one is left. */
-    public void reload() {
+    /** Reads both files again, off the loop, so that a slow disk holds nobody; where one is faulty both are left. */
+    public void reload() throws InterruptedException {
         StartFile next;
+        OperatorFile nextOperator;
         try {
             next = StartFile.read(file);
+            nextOperator = operator == null ? null : OperatorFile.read(operator.path());
         } catch (StartFault fault) {
-            LOG.error("the start file is not taken over, all stays as it was: {}", fault.getMessage());
+            Event.RELOAD_REFUSED.log(LOG, Level.ERROR, "all stays as it was", fault.getMessage());
             return;
         }
         loop.execute(() -> {
-            LOG.info("the start file was read again; discovery is at {}", next.discovery());
-            for (String key : next.restartsFor(start)) {
-                LOG.warn("{} has changed in the start file and takes effect at the next start", key);
-            }
+            Event.RELOADED.log(LOG, Level.INFO, "", next.discovery());
+            next.restartsFor(start).forEach(this::needsRestart);
             descriptors.most(next.sockets() - reserved);
             watch.moveTo(next.discovery());
         });
+        if (nextOperator != null) {
+            nextOperator.restartsFor(operator).forEach(this::needsRestart);
+            keepBy(nextOperator);
+        }
+    }
+
+    private void needsRestart(String key) {
+        Event.NEEDS_RESTART.log(LOG, Level.WARN, "takes effect at the next start", key);
+    }
+
+    // ---- What outlives the process.
+
+    private Keeper keeper() {
+        return operator == null || operator.folder() == null ? null
+            : new Keeper(operator.folder(), operator.deployment(), start.name(), operator.period(),
+                operator.mostBytes(), new SplittableRandom(start.seed()).split(), this::learnedOffLoop);
+    }
+
+    private void keepBy(OperatorFile next) throws InterruptedException {
+        boolean same = Objects.equals(next.folder(), operator.folder());
+        operator = next;
+        if (same && keeper != null) {
+            keeper.adjust(next.period(), next.mostBytes());
+        } else if (!same) {
+            Keeper former = keeper;
+            keeper = keeper();
+            if (former != null) {
+                former.ends(null);
+                former.awaitEnd();
+            }
+            if (keeper != null) {
+                // For the folder's lock and number: what this router has learned itself is newer than its view.
+                keeper.recall();
+                keeper.keeps();
+            }
+        }
+    }
+
+    private View learnedOffLoop() throws InterruptedException {
+        Promise<View> told = loop.newPromise();
+        loop.execute(() -> turn.hear(now -> told.setSuccess(learned(now))));
+        return told.await(LONGEST_EXPORT.micros(), TimeUnit.MICROSECONDS) ? told.getNow() : null;
+    }
+
+    private View learned(Moment now) {
+        List<Known> nodes = new ArrayList<>(core.nodesKnown());
+        core.learned(now, (node, view) -> {
+            NodeLink link = links.get(node);
+            if (link != null && link.address() != null) {
+                nodes.add(new Known(node, Addresses.text(link.address()), view));
+            }
+        });
+        return new View(operator.deployment(), start.name(), 0, Machine.now(), Machine.steady(), Machine.boot(),
+            list.generation(), nodes, core.learnedOfGroups(now));
     }
 
     /**
@@ -122,10 +206,10 @@
         }
     }
 
-    private void build() {
+    private void build(Recollection recollection) {
         StartValues values = start.values();
         Clock clock = new Clock();
-        Turn turn = new Turn(loop, clock);
+        turn = new Turn(loop, clock);
         buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
             PooledByteBufAllocator.defaultSmallCacheSize(),
             PooledByteBufAllocator.defaultNormalCacheSize(), true);
@@ -136,18 +220,19 @@
         Bootstrap outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (values.connectTimeout().micros() / 1_000));
-        Tally badNodes = new Tally(LoggerFactory.getLogger(NodeLink.class), clock);
+        Tally badNodes = new Tally(LoggerFactory.getLogger(NodeLink.class), Event.NODE_BAD, clock::now);
         Function<String, NodeLink> linkTo = node -> links.computeIfAbsent(node, name -> new NodeLink(name,
             outwards, loop, clock, descriptors, budget, values.connectTimeout(), values.idleClose(),
             badNodes));
         carrier = new Carrier(turn, loop, linkTo, this::forget, values.gauges(0),
             values.connectTimeout(), budget);
         clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen(), budget,
-            new Tally(LoggerFactory.getLogger(Clients.class), clock));
+            new Tally(LoggerFactory.getLogger(Clients.class), Event.CLIENT_BAD, clock::now));
         longestTimeout = values.longestTimeout();
-        Core<String> core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
-        MemberList list = new MemberList(core, values.zones(),
+        core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
+        list = new MemberList(core, values.zones(),
             (node, address) -> linkTo.apply(node).at(address));
+        list.recalls(recollection);
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
@@ -159,7 +244,7 @@
                     return;
                 }
             } catch (ListFault fault) {
-                LOG.warn("the known list is left out: {}", fault.getMessage());
+                Event.KNOWN_LEFT_OUT.log(LOG, Level.WARN, "", fault.getMessage());
             }
             core.woken(now);
         });
@@ -198,7 +283,7 @@
 
     private void enter(Phase next) {
         if (next.ordinal() > phase.ordinal()) {
-            LOG.info("phase {} after {}", next, phase);
+            Event.PHASE.log(LOG, Level.INFO, "", next, phase);
             phase = next;
         }
     }
@@ -236,7 +321,21 @@
     }
 
     private void stop() {
+        if (phase == Phase.STOPPED) {
+            return;
+        }
         enter(Phase.STOPPED);
+        if (keeper != null && core != null) {
+            turn.hear(now -> {
+                keeper.ends(learned(now));
+                end();
+            });
+        } else {
+            end();
+        }
+    }
+
+    private void end() {
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         stopped.countDown();
     }
@@ -255,5 +354,8 @@
 
     public void awaitStop() throws InterruptedException {
         stopped.await();
+        if (keeper != null) {
+            keeper.awaitEnd();
+        }
     }
 }
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.log.Event;
 import basaltlever.time.Moment;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.ArrayDeque;
@@ -66,7 +67,7 @@
         try {
             step.run();
         } catch (RuntimeException | OutOfMemoryError fault) {
-            LOG.error("fault while {}", what, fault);
+            Event.FAULT.fault(LOG, "", fault, what);
         }
     }
 }
--- a/router/src/main/java/basaltlever/net/Watch.java
+++ b/router/src/main/java/basaltlever/net/Watch.java
@@ -4,6 +4,7 @@
 import basaltlever.discovery.ChunkReader;
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
+import basaltlever.log.Event;
 import basaltlever.time.Span;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -18,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Follows the list of members for as long as a connection lasts; when to ask again is not its matter. */
 final class Watch {
@@ -137,7 +139,7 @@
 
         private void fail(String why) {
             if (current == this) {
-                LOG.info("discovery: {}", why);
+                Event.WATCH_FAILED.log(LOG, Level.INFO, "", why);
                 drop();
                 turn.hear(core::listFailed);
             }
--- /dev/null
+++ b/router/src/test/java/basaltlever/KeeperTest.java
@@ -0,0 +1,186 @@
+package basaltlever;
+
+import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.StandIn.check;
+import static basaltlever.StandIn.ms;
+
+import basaltlever.StandIn.SocketWorld;
+import basaltlever.StandIn.SocketWorld.Client;
+import basaltlever.StandIn.SocketWorld.Mode;
+import basaltlever.keep.Folder;
+import basaltlever.keep.Generations;
+import basaltlever.keep.Keeper;
+import basaltlever.keep.Machine;
+import basaltlever.keep.ViewFile;
+import basaltlever.view.Known;
+import basaltlever.view.Recollection;
+import basaltlever.view.View;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+
+/** A folder of the file system, with its keeper and with a whole router. */
+class KeeperTest {
+    private static View view(long writtenAt) {
+        View view = KeepTest.view(1, 4);
+        return new View("fleet", "n3", 0, writtenAt, Machine.steady(), Machine.boot(), 41, view.nodes(), view.groups());
+    }
+
+    private static Keeper keeper(Path folder, Keeper.Source source) {
+        return new Keeper(folder, "fleet", "n3", ms(100), 1 << 20, new SplittableRandom(3), source);
+    }
+
+    private static void clear(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
+    private static View newest(Path folder) throws IOException {
+        return new Generations(new Folder(folder)).newest().view();
+    }
+
+    private interface Truth {
+        boolean holds() throws Exception;
+    }
+
+    private static void await(String what, Truth truth) throws Exception {
+        for (int i = 0; i < 300 && !truth.holds(); i++) {
+            Thread.sleep(20);
+        }
+        check(truth.holds(), what);
+    }
+
+    @Example
+    void aViewComesBackAndOnlyTwoGenerationsStay() throws Exception {
+        Path folder = Files.createTempDirectory("view");
+        try {
+            AtomicInteger asked = new AtomicInteger();
+            Keeper keeper = keeper(folder, () -> {
+                asked.incrementAndGet();
+                return view(Machine.now());
+            });
+            check(keeper.recall() == Recollection.NONE, "none at first");
+            keeper.keeps();
+            await("it writes each period", () -> asked.get() > 4);
+            Keeper second = keeper(folder, () -> view(Machine.now()));
+            check(second.recall() == Recollection.NONE, "held by another: left alone");
+            second.ends(view(Machine.now()));
+            second.awaitEnd();
+            keeper.ends(view(Machine.now()));
+            keeper.awaitEnd();
+            check(Generations.names(new Folder(folder)).size() == 2, "two generations");
+            Keeper next = keeper(folder, () -> null);
+            Recollection recollection = next.recall();
+            check(recollection.worthless().isEmpty() && recollection.nodesLeft() == 4, "recalled");
+            next.ends(null);
+            next.awaitEnd();
+        } finally {
+            clear(folder);
+        }
+    }
+
+    @Example
+    void aFaultyFolderCostsNothingAndIsTakenAgainWhenItIsBack() throws Exception {
+        Path folder = Files.createTempDirectory("view").resolve("mount");
+        Keeper keeper = keeper(folder, () -> view(Machine.now()));
+        check(keeper.recall() == Recollection.NONE, "no folder, no view");
+        keeper.keeps();
+        Thread.sleep(300);
+        Files.createDirectory(folder);
+        await("kept once it is there", () -> newest(folder) != null);
+        clear(folder);
+        Thread.sleep(300);
+        Files.writeString(folder, "no folder");
+        Thread.sleep(300);
+        Files.delete(folder);
+        Files.createDirectory(folder);
+        await("kept again", () -> newest(folder) != null);
+        byte[] bytes = Files.readAllBytes(folder.resolve(Generations.names(new Folder(folder)).get(0)));
+        keeper.ends(null);
+        keeper.awaitEnd();
+        bytes[60] ^= 4;
+        Files.write(folder.resolve(Generations.name(900)), bytes);
+        Files.write(folder.resolve("view-ffffffffffffffff.blv"), bytes);
+        Files.createDirectory(folder.resolve(Generations.name(901)));
+        Keeper next = keeper(folder, () -> null);
+        check(next.recall().nodesLeft() == 4, "past a broken one and a folder to the newest that is whole");
+        next.ends(view(Machine.now()));
+        next.awaitEnd();
+        check(newest(folder).number() == 902, "numbers go on");
+        clear(folder.getParent());
+    }
+
+    @Example
+    void aStuckSourceOrDiskHoldsUpNeitherStartNorEnd() throws Exception {
+        Path folder = Files.createTempDirectory("view");
+        Keeper keeper = keeper(folder, () -> {
+            Thread.sleep(60_000);
+            return null;
+        });
+        keeper.recall();
+        keeper.keeps();
+        Thread.sleep(200);
+        long start = System.nanoTime();
+        keeper.ends(view(Machine.now()));
+        keeper.awaitEnd();
+        check(System.nanoTime() - start < 1_500_000_000L, "bounded");
+        clear(folder);
+    }
+
+    private static long broken(SocketWorld world) {
+        return world.ran.values().stream().flatMap(List::stream).filter(Mode.BREAKS::equals).count();
+    }
+
+    /** The nodes' own record of what reached them judges, not the router. */
+    @Example
+    void aRouterThatComesBackSparesTheNodeThatWasFailing() throws Exception {
+        Path folder = Files.createTempDirectory("view");
+        try {
+            int[] reached = new int[2];
+            for (int with = 0; with < 2; with++) {
+                try (SocketWorld world = new SocketWorld(false)) {
+                    world.nodes.get(1).mode = Mode.BREAKS;
+                    String ini = with == 0 ? "" : "[state]\nfolder = " + folder + "\nperiod_ms = 200\n";
+                    for (int life = 0; life < 2; life++) {
+                        basaltlever.net.Router router = life == 0 ? world.router : new basaltlever.net.Router();
+                        router.start(world.file, OperatorTest.file(ini));
+                        long before = broken(world);
+                        // At once, so that each replica gets some, and no more than one of them has room for.
+                        List<Client> clients = new ArrayList<>();
+                        for (int i = 0; i < 6; i++) {
+                            clients.add(new Client(world.port).start());
+                            clients.get(i).answer();
+                        }
+                        for (int i = 0; i < 6; i++) {
+                            clients.get(i).ask(statement("r" + life + i, "view", 900));
+                        }
+                        for (Client client : clients) {
+                            check(client.answer().startsWith("row:"), "served by another");
+                            client.close();
+                        }
+                        reached[with] = (int) (broken(world) - before);
+                        router.drain();
+                        router.awaitStop();
+                    }
+                }
+            }
+            check(reached[0] > 0 && reached[1] == 0, "with a view " + reached[1] + ", without one " + reached[0]);
+            List<Known> kept = newest(folder).nodes();
+            check(kept.size() == 3 && ViewFile.write(newest(folder), 1 << 20).length < 1_500, "three nodes, small");
+        } finally {
+            clear(folder);
+        }
+    }
+}
--- a/router/src/test/java/basaltlever/RulesTest.java
+++ b/router/src/test/java/basaltlever/RulesTest.java
@@ -30,7 +30,7 @@
         world.run(4_000);
     }
 
-    private static void upset(StandIn world, SplittableRandom chance) {
+    static void upset(StandIn world, SplittableRandom chance) {
         int id = chance.nextInt(world.members.size());
         StandIn.Member member = world.members.get(id);
         switch (chance.nextInt(7)) {
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -745,7 +745,7 @@
             }
             Files.writeString(file, startFile(port, discovery.getLocalPort(), entries()));
             if (serves) {
-                router.start(file);
+                router.start(file, null);
             }
         }
 
