Laboratory: kill-state, restart-paired and view-cost; starts do not wait for absent members

Need: what a view is worth and costs is to be measured by real processes. Change: the lab module gets stand-in nodes with counters, processes ended by SIGKILL with a judge, restarts in pairs, cost of exports; a start does not wait for the looks of members that had been silent. A listed start of 1970 no longer makes a view unreadable (found by view-cost).

--- a/lab/src/main/java/basaltlever/lab/Main.java
+++ b/lab/src/main/java/basaltlever/lab/Main.java
@@ -4,7 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 
-/** The laboratory's command line. */
+/** The laboratory's command line. Exit 0 where all that was stated held, 1 where not, 2 for bad input. */
 public final class Main {
     private static final int MISUSED = 2;
 
@@ -15,16 +15,32 @@
     private static final class Help {
     }
 
-    public static void main(String[] args) {
-        JCommander line = JCommander.newBuilder().programName("basaltlever-lab").addCommand("help", new Help())
-            .build();
+    public static void main(String[] args) throws Exception {
+        KillState killState = new KillState();
+        KillState.Writer writer = new KillState.Writer();
+        RestartPaired restartPaired = new RestartPaired();
+        ViewCost viewCost = new ViewCost();
+        JCommander line = JCommander.newBuilder().programName("basaltlever-lab")
+            .addCommand("kill-state", killState).addCommand("write-views", writer)
+            .addCommand("restart-paired", restartPaired).addCommand("view-cost", viewCost)
+            .addCommand("help", new Help()).build();
         try {
             line.parse(args);
         } catch (ParameterException fault) {
             System.err.println("basaltlever-lab: " + fault.getMessage());
             System.exit(MISUSED);
         }
-        line.usage();
-        System.exit(line.getParsedCommand() == null ? MISUSED : 0);
+        String command = line.getParsedCommand();
+        switch (command == null ? "" : command) {
+            case "kill-state" -> System.exit(killState.run());
+            case "write-views" -> writer.run();
+            case "restart-paired" -> System.exit(restartPaired.run());
+            case "view-cost" -> System.exit(viewCost.run());
+            case "help" -> line.usage();
+            default -> {
+                line.usage();
+                System.exit(MISUSED);
+            }
+        }
     }
 }
--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Takes in lists of members and changes of them, from discovery or as held at the last start. */
 public final class MemberList {
@@ -22,6 +23,7 @@
     private final BiConsumer<String, InetSocketAddress> addresses;
     private long generation;
     private Recollection recollection = Recollection.NONE;
+    private Consumer<String> absent = node -> { };
 
     /** Hands each member's address on as it comes. */
     public MemberList(Core<String> core, List<String> zones,
@@ -41,9 +43,13 @@
         generation = 0;
     }
 
-    /** What an earlier process knew of the members, until a list that was asked for has come. */
-    public void recalls(Recollection from) {
+    /**
+     * What an earlier process knew of the members, until a list that was asked for has come; those that it had no
+     * answers from are told on.
+     */
+    public void recalls(Recollection from, Consumer<String> absentOnes) {
         recollection = from;
+        absent = absentOnes;
     }
 
     public static Map<?, ?> parse(String line) throws ListFault {
@@ -98,6 +104,9 @@
             if (known != null) {
                 core.recalled(now, id, known);
                 drainsBind |= known.drains();
+                if (known.silent() || known.isDown()) {
+                    absent.accept(id);
+                }
             }
         }
         core.recalled(now, recollection.groups());
--- a/router/src/main/java/basaltlever/keep/ViewFile.java
+++ b/router/src/main/java/basaltlever/keep/ViewFile.java
@@ -38,7 +38,8 @@
     private static final int SUM = 32;
     private static final int LONGEST_RECORD = 4_096;
     private static final int LONGEST_NAME = 512;
-    private static final double MOST = 1e15;
+    /** Microseconds since long before there was Unix time. */
+    private static final double MOST = 1e16;
     private static final CBORFactory CBOR = new CBORFactory();
 
     private ViewFile() {
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -35,7 +35,6 @@
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
     private Core<String> core;
     private Runnable watch;
-    private int pollsEnded;
 
     Carrier(Turn turn, EventLoop loop, Function<String, NodeLink> links, Consumer<String> forgotten,
             Gauges gauges, Span pollTimeout, Budget budget) {
@@ -53,11 +52,6 @@
         watch = watchStarts;
     }
 
-    /** Polls answered or failed. */
-    int pollsEnded() {
-        return pollsEnded;
-    }
-
     // ---- Statements.
 
     int open() {
@@ -269,7 +263,7 @@
 
         @Override
         void answered(Answer answer) {
-            pollsEnded++;
+            links.apply(node).looked();
             Ending ending = ending(answer);
             Role role = role(answer);
             double[] values = gauges.values(answer.text());
@@ -284,7 +278,7 @@
 
         @Override
         void lost(Ending ending) {
-            pollsEnded++;
+            links.apply(node).looked();
             turn.hear(now -> core.polled(now, node, ending, Role.UNTOLD, Moment.LONG_AGO, Double.NaN));
         }
     }
--- a/router/src/main/java/basaltlever/net/NodeLink.java
+++ b/router/src/main/java/basaltlever/net/NodeLink.java
@@ -26,6 +26,8 @@
     private final Tally bad;
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
     private InetSocketAddress address;
+    private int looks;
+    private boolean absent;
     private boolean sweeping;
 
     /** An idle connection is closed a connect time-out before the node may: a path can take that long. */
@@ -42,6 +44,24 @@
         this.keptFor = idleClose.minus(connectTimeout).longer(Span.NONE);
     }
 
+    /** A poll of it was answered or has failed. */
+    void looked() {
+        looks++;
+    }
+
+    int looks() {
+        return looks;
+    }
+
+    /** An earlier process had no answer from it: a start does not wait for one. */
+    void isAbsent() {
+        absent = true;
+    }
+
+    boolean isAwaited() {
+        return !absent;
+    }
+
     /** Null where the list has not named one. */
     InetSocketAddress address() {
         return address;
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -198,7 +198,13 @@
      * connections and for a primary, and hold against nodes what was this router's own start.
      */
     private void lookAround(Promise<Void> looked, long since) {
-        if (!links.isEmpty() && carrier.pollsEnded() >= LOOKS * links.size()
+        int awaited = 0;
+        int looks = 0;
+        for (NodeLink link : links.values()) {
+            awaited += link.isAwaited() ? 1 : 0;
+            looks += link.isAwaited() ? link.looks() : 0;
+        }
+        if (awaited > 0 && looks >= LOOKS * awaited
             || System.nanoTime() - since > LONGEST_LOOK.micros() * 1_000) {
             looked.setSuccess(null);
         } else {
@@ -232,7 +238,7 @@
         core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
         list = new MemberList(core, values.zones(),
             (node, address) -> linkTo.apply(node).at(address));
-        list.recalls(recollection);
+        list.recalls(recollection, node -> linkTo.apply(node).isAbsent());
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
