--- a/router/src/test/java/basaltlever/ViewTest.java
+++ b/router/src/test/java/basaltlever/ViewTest.java
@@ -25,14 +25,18 @@
 /** What of a view counts, for which node, and that it only ever makes for more care. */
 class ViewTest {
     private static final long HOUR = 3_600_000_000L;
-    private static final NodeView BLANK = new NodeView(0, 0, false, false, NodeView.NEVER, NodeView.NEVER, false,
-        NodeView.NEVER, 0, 0, 1e9, 0, Span.NONE, Span.NONE, 0, NodeView.NEVER);
 
     private static NodeView bad(boolean silent, boolean down, double failing) {
         return new NodeView(0, 77, false, false, NodeView.NEVER, NodeView.NEVER, silent,
             down ? ms(3_000) : NodeView.NEVER, failing, 0.4, 0.5, 3, ms(200), ms(900), 0, NodeView.NEVER);
     }
 
+    /** One reason for care and no other. */
+    private static NodeView only(boolean drains, boolean silent, boolean down, double failing, double restsMillis) {
+        return new NodeView(0, 77, drains, false, NodeView.NEVER, NodeView.NEVER, silent,
+            down ? ms(3_000) : NodeView.NEVER, failing, 0, 9, 0, ms(restsMillis), Span.NONE, 0, NodeView.NEVER);
+    }
+
     private static NodeView drained(boolean cold) {
         return new NodeView(0, 77, !cold, false, ms(500), NodeView.NEVER, false, NodeView.NEVER, 0, 0, 5, 0, Span.NONE,
             Span.NONE, cold ? 7 : 0, ms(100));
@@ -121,7 +125,8 @@
 
     @Example
     void silentFailingAndDrainingMembersAreSparedFromTheStart() {
-        for (NodeView view : List.of(bad(true, false, 1), bad(false, true, 1), bad(false, false, 0.9), drained(false))) {
+        for (NodeView view : List.of(only(true, false, false, 0, 0), only(false, true, false, 0, 0),
+            only(false, false, true, 0, 0), only(false, false, false, 0.9, 0), only(false, false, false, 0, 300))) {
             StandIn world = fresh(null, view, null);
             world.poll(0, Role.PRIMARY, world.now);
             world.poll(2, Role.REPLICA, world.now);
