--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -188,9 +188,10 @@
         Group home = node.group;
         Moment denied = home.lost == node ? node.denied.later(home.holdSince) : node.denied;
         boolean cold = warmth(node) < 1;
-        return new NodeView(home.number, Math.max(0, node.listedStart.micros()), !listedForUse(node), home.primary == node,
-            ago(node.startedAt), ago(denied), node.silent, node.down ? ago(node.downSince) : NodeView.NEVER,
-            Math.min(1, failing(node)), node.strained.at(now, FORGIVEN), node.room, node.fullInRow,
+        return new NodeView(home.number, Math.max(0, node.listedStart.micros()), !listedForUse(node),
+            home.primary == node, ago(node.startedAt), ago(denied), node.silent,
+            node.down ? ago(node.downSince) : NodeView.NEVER, Math.min(1, failing(node)),
+            node.strained.at(now, FORGIVEN), node.room, node.fullInRow,
             node.restsUntil.since(now).longer(Span.NONE), lag(node),
             cold ? node.coldWork / typicalOfAll : 0, cold ? ago(node.coldAt) : NodeView.NEVER);
     }
@@ -207,8 +208,8 @@
     }
 
     /**
-     * What another process learned of a node that was listed just now, aged by the caller. It only ever makes for more
-     * care: no position, role or warmth of it is believed, and of each bound the tighter one holds.
+     * What another process learned of a node that was listed just now, aged by the caller. It only ever makes
+     * for more care: no position, role or warmth of it is believed, and of each bound the tighter one holds.
      */
     public void recalled(Moment at, int id, NodeView view) {
         now = at;
@@ -229,7 +230,7 @@
         }
         starts(node, then(view.startedAgo()));
         if (warmth(node) < 1) {
-            // Of what has come back since, only what the least rate gives: the yardstick is not yet known here.
+            // Of what has come back since, only what the least rate gives: the yardstick is not known yet.
             Moment since = then(view.coldAgo()).later(Moment.LONG_AGO).earlier(now);
             double back = coldRate(node) * (1 - COLD_BURST) * now.since(since).over(SECOND);
             node.coldWork = Math.max(coldLevel(node), view.coldSpent() * typicalOfAll - back);
--- a/router/src/main/java/basaltlever/keep/Keeper.java
+++ b/router/src/main/java/basaltlever/keep/Keeper.java
@@ -45,6 +45,7 @@
     private final Source source;
     private final Tally failures;
     private final ScheduledThreadPoolExecutor thread;
+    private final Future<Recollection> reading;
     private volatile Span period;
     private volatile int most;
     private boolean held;
@@ -68,11 +69,11 @@
             worker.setDaemon(true);
             return worker;
         });
+        reading = thread.submit(this::read);
     }
 
-    /** What the folder's view is worth now; never fails, and takes a second at most. */
+    /** What the folder's view is worth, read since this was made; never fails, and takes a second at most. */
     public Recollection recall() throws InterruptedException {
-        Future<Recollection> reading = thread.submit(this::read);
         try {
             return reading.get(READ_WITHIN.micros(), TimeUnit.MICROSECONDS);
         } catch (TimeoutException slow) {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -96,11 +96,13 @@
         start = StartFile.read(from);
         operator = with;
         keeper = keeper();
-        Recollection recollection = keeper == null ? Recollection.NONE : keeper.recall();
         enter(Phase.LOOKING);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = (SingleThreadEventLoop) group.next();
-        loop.submit(() -> build(recollection)).sync();
+        loop.submit(this::build).sync();
+        // Read meanwhile, on the keeper's thread: what it loads first would else be added to the start.
+        Recollection recollection = keeper == null ? Recollection.NONE : keeper.recall();
+        loop.submit(() -> begin(recollection)).sync();
         Promise<Void> looked = loop.newPromise();
         loop.execute(() -> lookAround(looked, System.nanoTime()));
         looked.sync();
@@ -225,7 +227,7 @@
         }
     }
 
-    private void build(Recollection recollection) {
+    private void build() {
         StartValues values = start.values();
         Clock clock = new Clock();
         turn = new Turn(loop, clock);
@@ -251,11 +253,14 @@
         core = new Core<>(carrier, values.balance(start.seed(), turn.now()));
         list = new MemberList(core, values.zones(),
             (node, address) -> linkTo.apply(node).at(address));
-        list.recalls(recollection, node -> linkTo.apply(node).isAbsent());
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
         loop.scheduleWithFixedDelay(clients::sweep, SWEEPS.micros(), SWEEPS.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    private void begin(Recollection recollection) {
+        list.recalls(recollection, node -> links.get(node).isAbsent());
         turn.hear(now -> {
             try {
                 if (start.known().containsKey("instances")) {
