--- a/lab/src/main/java/basaltlever/lab/KillState.java
+++ b/lab/src/main/java/basaltlever/lab/KillState.java
@@ -57,10 +57,10 @@
                     throw new IOException("the folder is held");
                 }
                 Generations generations = new Generations(to);
-                for (long number = generations.newest().number() + 1; ; number++) {
+                // Where nobody reads any more, whoever was to kill it has gone, and it ends by itself.
+                for (long number = generations.newest().number() + 1; !System.out.checkError(); number++) {
                     generations.store(MadeViews.view(number, NODES), 1 << 20);
                     System.out.println(number);
-                    System.out.flush();
                 }
             }
         }
