--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
@@ -297,7 +297,7 @@
     private void polled(boolean[] over, String node, Ending ending, Role role, Moment position, double util) {
         if (!over[0]) {
             over[0] = true;
-            turn(() -> core.polled(world.now(), node, ending, role, position, util));
+            turn(() -> core.polled(world.now(), node, ending, role, position, util, Double.NaN));
         }
     }
 
--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -15,6 +15,7 @@
 import basaltlever.time.Span;
 import java.util.*;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 
 /**
  * Every decision of one router; it shares nothing with others. Each event comes with the clock of the batch,
@@ -58,6 +59,12 @@
     private static final double FAILING = 0.3;
     private static final double DEAR = 0.3;
     private static final double HELD = 0.48;
+    private static final double LONG = 2;
+    private static final double CROWDED = 0.2;
+    private static final double UNUSUAL = 2.5;
+    private static final int MOST_TRIALS = 2;
+    private static final double UNTOLD_UTIL = 0.5;
+    private static final double FULLY_STRAINED = 0.65;
     private static final int MOST_PREPARED = 16;
 
     private static final Comparator<Statement> BY_IMPORTANCE =
@@ -65,6 +72,8 @@
             .thenComparingLong(statement -> statement.takenAt.micros())
             .thenComparingInt(statement -> statement.id);
 
+    private static final Comparator<Node> BY_RANK = Comparator.comparingInt(node -> node.rank);
+
     private record Rule(String name, BooleanSupplier when, Runnable then) { }
 
     private final Outbound outbound;
@@ -171,6 +180,11 @@
         relist(node, state);
     }
 
+    /** A figure of the node that is the same at all routers and tells nothing of it. */
+    public void ranked(int id, int rank) {
+        nodes.get(id).rank = rank;
+    }
+
     public void listEnds(Moment at, boolean complete, boolean answered) {
         now = at;
         for (Node node : List.copyOf(nodes.values())) {
@@ -278,7 +292,9 @@
         return true;
     }
 
-    public void polled(Moment at, int id, Ending ending, Role role, Moment position, double util) {
+    /** Share of its cores that is busy, and statements that wait: not a number where a report lacks them. */
+    public void polled(Moment at, int id, Ending ending, Role role, Moment position, double util,
+                       double queue) {
         now = at;
         Node node = nodes.get(id);
         node.pollOut = false;
@@ -286,7 +302,13 @@
         pollDue = pollDue.earlier(node.pollDue);
         if (ending == Ending.COMPLETED) {
             up(node);
-            node.util = util >= 0 && util <= 2 ? Math.min(1, util) : node.util;
+            if (util >= 0 && util <= 2) {
+                node.util = Math.min(1, util);
+            } else if (queue >= 0) {
+                // Whoever has statements waiting has no core to spare; how many it has is not told.
+                node.util = queue >= 0.5 ? 1 : UNTOLD_UTIL;
+            }
+            node.tellsLoad |= util >= 0 || queue >= 0;
             Span reportAge = node.group.reportAge;
             boolean sane = position.isAfter(Moment.LONG_AGO) && !position.isAfter(now);
             if (sane) {
@@ -305,6 +327,7 @@
             }
         } else if (ending == Ending.FULL) {
             // Too many ask it at once: no sign of a loss, but one to ask less.
+            node.heard = true;
             node.pollDue = now.plus(pollPeriod(node).longer(HOLD_POLL).times(1 + chance.nextDouble()));
         } else {
             pollMissed(node, ending == Ending.NO_CONNECTION || ending == Ending.RESET);
@@ -573,6 +596,11 @@
         int out = 0;
         int best = 8;
         int seen = 0;
+        Node burdened = burdened(statement);
+        boolean boundedOnly = statement.terms.needs() != Needs.ANY;
+        if (burdened != null && isLong(statement.workload)) {
+            return burdened;
+        }
         for (Node member : group.members) {
             if (member == group.primary || statement.wasSentTo(member) || !isUsable(member, statement)) {
                 continue;
@@ -584,7 +612,7 @@
                 continue;
             }
             fits = true;
-            int tier = (proven ? 0 : 2) + (failing(member) < FAILING ? 0 : 4) + (avoids(member) ? 1 : 0);
+            int tier = (proven && (member != burdened || !boundedOnly) ? 0 : 2) + (failing(member) < FAILING ? 0 : 4) + (avoids(member) ? 1 : 0);
             // A cold one is drawn as often as it is warm: by busyness a light router would never choose it.
             if (!hasRoom(member, 1) || tier > best || chance.nextDouble() >= warmth(member)) {
                 continue;
@@ -615,6 +643,38 @@
         return primaryFor(statement);
     }
 
+    /** What any member may answer, yet takes far longer than most: its node applies no log meanwhile. */
+    private boolean isLong(int workload) {
+        return workloads[workload].needs() == Needs.ANY && typical[workload] > LONG * typicalOfAll;
+    }
+
+    // Spread out, long statements would keep every replica of a group from applying the log. All routers know
+    // the same order of its members, so they agree without a word on who bears them: the first that is not
+    // crowded, out of the first half.
+    private Node burdened(Statement statement) {
+        if (IntStream.range(0, workloads.length).noneMatch(this::isLong)) {
+            return null;
+        }
+        List<Node> able = new ArrayList<>(statement.group.members.size());
+        for (Node member : statement.group.members) {
+            if (member != statement.group.primary && isUsable(member, statement) && failing(member) < FAILING) {
+                able.add(member);
+            }
+        }
+        able.sort(BY_RANK);
+        Node bears = null;
+        for (Node member : able.subList(0, Math.min(able.size(), Math.max(1, able.size() / 2)))) {
+            if (!statement.wasSentTo(member) && (bears == null || crowd(bears) > CROWDED && crowd(member) < crowd(bears))) {
+                bears = member;
+            }
+        }
+        return bears;
+    }
+
+    private double crowd(Node node) {
+        return node.strained.at(now, FORGIVEN);
+    }
+
     private boolean hasWaited(Statement statement, double share) {
         return !now.isBefore(statement.takenAt.plus(statement.terms.slo().times(share)));
     }
@@ -661,8 +721,11 @@
     }
 
     private boolean isUsable(Node node, Statement statement) {
-        boolean onTrial = node.out == 0 && !now.since(node.silentSince).isShorterThan(TRIAL);
-        return listedForUse(node) && !node.down && !now.isBefore(node.restsUntil) && (!node.silent || onTrial)
+        boolean onTrial = node.out == 0
+            && !now.since(node.silentSince.later(node.triedAt)).isShorterThan(TRIAL.times(1 << node.trials));
+        // A list may name what does not exist: nothing goes to a node that has never said a word.
+        return listedForUse(node) && !node.down && (node.heard || !allowance.polls())
+            && !now.isBefore(node.restsUntil) && (!node.silent || onTrial)
             && (warmth(node) >= 1 || coldAllows(node, typical[statement.workload]));
     }
 
@@ -689,9 +752,24 @@
             // Even where late is worth a little, a queue of what is late would make all others late.
             timeout = statement.takenAt.plus(terms.slo().times(1 + 2 * terms.lateShare())).since(now);
         }
+        // Where only one may be out, what is lost in a node is found out early enough to try another.
+        double multiple = node.silent || failing(node) >= FAILING ? UNUSUAL : 2 * UNUSUAL;
+        Span unusual = new Span((long) (multiple * typical[statement.workload]));
+        Span forTwo = unusual.plus(new Span((long) (LEAST_CHANCE * typical[statement.workload])));
+        if (!allowance.secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
+            && now.plus(forTwo).isBefore(statement.takenAt.plus(terms.slo()))
+            && (terms.repeat() == Repeat.IDEMPOTENT && multiple == UNUSUAL
+                || now.plus(unusual).isBefore(statement.mayHaveRunSince().earlier(now).plus(terms.window())))) {
+            timeout = unusual;
+        }
         boolean opens = !isConnected(node);
         node.idle = opens ? 0 : node.idle - 1;
         statement.sentTo(node, now, opens);
+        if (node.silent) {
+            // Each trial that fails costs a statement, or an execution: the next one waits twice as long.
+            node.trials = Math.min(MOST_TRIALS, node.trials + 1);
+            node.triedAt = now;
+        }
         if (node.out++ == 0) {
             node.owesSince = now;
         }
@@ -710,16 +788,22 @@
 
     /** How often by importance; whether at all by what an earlier execution may have done. */
     private boolean mayRunAgain(Statement statement) {
+        return mayRunAgain(statement, 0);
+    }
+
+    /** As if so many of its executions had ended. */
+    private boolean mayRunAgain(Statement statement, int ended) {
+        int stillOut = statement.out - ended;
         int spare = allowance.executions() - 2;
         double share = statement.terms.importance() / topImportance;
         if (statement.executions >= Math.min(allowance.executions(), 2 + (int) Math.ceil(spare * share))) {
             return false;
         }
         return switch (statement.terms.repeat()) {
-            case IDEMPOTENT -> statement.out == 0 || allowance.secondCopies();
+            case IDEMPOTENT -> stillOut == 0 || allowance.secondCopies();
             case NON_IDEMPOTENT -> !statement.mayHaveRun && statement.out == 0;
             case DEDUPLICATED -> statement.terms.within() != Workload.Within.ZONE
-                ? (statement.out == 0 || allowance.secondCopies())
+                ? (stillOut == 0 || allowance.secondCopies())
                     && now.isBefore(statement.mayHaveRunSince().plus(statement.terms.window()))
                 : !statement.mayHaveRun && statement.out == 0;
         };
@@ -775,6 +859,10 @@
         if (statement.queued && statement.terms.onlyPrimary()) {
             takeOut(statement);
         }
+        callOff(statement);
+    }
+
+    private void callOff(Statement statement) {
         for (int i = 0; allowance.cancels() && statement.out > 0 && i < statement.executions; i++) {
             if (statement.isOut[i]) {
                 outbound.cancel(statement.id, i);
@@ -789,8 +877,11 @@
             boolean stuck = statement.out > 0;
             for (int k = 0; statement.out > 0 && k < statement.executions; k++) {
                 if (statement.isOut[k]) {
-                    noteSilence(statement.nodes[k]);
-                    stuck &= statement.nodes[k].silent || statement.nodes[k].down;
+                    Node node = statement.nodes[k];
+                    noteSilence(node, statement, statement.sentAt[k]);
+                    // A trial has its own time: called off with the rest, none would ever end a silence.
+                    stuck &= node.down || node.silent
+                        && (allowance.secondCopies() || !statement.sentAt[k].isAfter(node.silentSince));
                 }
             }
             if (statement.finished) {
@@ -807,17 +898,23 @@
                     takeOut(statement);
                     unplaced.add(statement);
                 }
-            } else if (stuck && mayRunAgain(statement)) {
-                // Waiting on nodes that answer nobody: a copy elsewhere may still be in time.
-                unplaced.add(statement);
+            } else if (stuck && mayRunAgain(statement, allowance.secondCopies() ? 0 : statement.out)) {
+                // Waiting on nodes that answer nobody: another execution elsewhere may still be in time.
+                if (allowance.secondCopies()) {
+                    unplaced.add(statement);
+                } else {
+                    callOff(statement);
+                }
             }
         }
         scanDue = open.isEmpty() ? Moment.NEVER : now.plus(SCAN);
     }
 
-    private void noteSilence(Node node) {
-        Span patience = new Span((long) (meanSlo * strain(node) * (2 + 4.0 / Math.max(1, node.out))));
-        if (!node.silent && now.since(node.owesSince).isLongerThan(patience.longer(LEAST_SILENCE))) {
+    /** What commonly takes long tells of a silence only late, and what was sent just now of none yet. */
+    private void noteSilence(Node node, Statement statement, Moment sent) {
+        double slowed = Math.max(1, strain(node) / usualStrain);
+        Span patience = new Span((long) (typical[statement.workload] * slowed * (2 + 4.0 / Math.max(1, node.out))));
+        if (!node.silent && now.since(node.owesSince.later(sent)).isLongerThan(patience.longer(LEAST_SILENCE))) {
             pollNow(node);
             fallSilent(node);
         }
@@ -863,6 +960,7 @@
                 node.fullInRow = 0;
                 up(node);
                 node.silent = false;
+                node.trials = 0;
                 node.owesSince = now;
                 if (ending != Ending.ERROR) {
                     fail(node, 0);
@@ -913,6 +1011,10 @@
         double strain = strain(node) + weight(node.strained.since()) * (latest - strain(node));
         usualStrain += LEARN / 4 * (strain - usualStrain);
         node.strained.set(now, strain - usualStrain);
+        if (!node.tellsLoad) {
+            // Nothing tells of its cores: the slower it answers, the busier they are held to be.
+            node.util = Math.min(1, strain / FULLY_STRAINED);
+        }
         if (Math.min(strain, latest) > (node.util > BUSY ? STRAINED : HOPELESS)) {
             node.room = Math.max(LEAST_ROOM, node.room - Math.min(0.3, 0.1 * node.room));
         } else if (node.out + 1 > 0.7 * node.room && strain < 1.5 * STRAINED) {
@@ -983,6 +1085,7 @@
     }
 
     private void up(Node node) {
+        node.heard = true;
         node.pollMisses = 0;
         if (now.since(node.refusedAt).isShorterThan(SECOND)) {
             // It refused a connection at once and yet answers: at its limit, not gone. One shows nothing:
@@ -1074,7 +1177,7 @@
     private void pollDue() {
         pollDue = Moment.NEVER;
         for (Node node : nodes.values()) {
-            if (node.listing == Listing.GONE || !allowance.polls()) {
+            if (node.listing == Listing.GONE && !listedForUse(node) || !allowance.polls()) {
                 continue;
             }
             if (node.pollOut && now.since(node.pollSent).isLongerThan(SECOND)) {
--- a/router/src/main/java/basaltlever/adapter/Instance.java
+++ b/router/src/main/java/basaltlever/adapter/Instance.java
@@ -87,7 +87,8 @@
         float position = value(in, at + 13, count, gauges.position);
         core.polled(now, address(in, at), ending(in.getShort(at + 6)),
             gauges.role(value(in, at + 13, count, gauges.primary)),
-            gauges.position(Math.nextDown(position)), value(in, at + 13, count, gauges.util));
+            gauges.position(Math.nextDown(position)), value(in, at + 13, count, gauges.util),
+            value(in, at + 13, count, gauges.queue));
     }
 
     private static Ending ending(short code) {
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -57,7 +57,8 @@
     public void listed(Moment now, N node, Listing listing, int group, int zone, double size,
                        Moment startedAt) {
         Integer known = nodeIndices.get(node);
-        if (known == null) {
+        boolean first = known == null;
+        if (first) {
             if (freeNodes.isEmpty()) {
                 freeNodes.push(nodes.size());
                 nodes.add(null);
@@ -67,6 +68,10 @@
             nodeIndices.put(node, known);
         }
         balance.listed(now, known, listing, group, zone, size, startedAt);
+        if (first) {
+            // Spread by the odd multiplier of Knuth's multiplicative hash: ids may share their low bits.
+            balance.ranked(known, node.hashCode() * 0x9E3779B1);
+        }
     }
 
     /** Members there are, and those gone that a rule may still ask for. */
@@ -160,10 +165,11 @@
         return known && completes;
     }
 
-    public void polled(Moment now, N node, Ending ending, Role role, Moment position, double util) {
+    public void polled(Moment now, N node, Ending ending, Role role, Moment position, double util,
+                       double queue) {
         Integer known = nodeIndices.get(node);
         if (known != null) {
-            balance.polled(now, known, ending, role, position, util);
+            balance.polled(now, known, ending, role, position, util, queue);
         }
     }
 
--- a/router/src/main/java/basaltlever/core/Gauges.java
+++ b/router/src/main/java/basaltlever/core/Gauges.java
@@ -11,6 +11,7 @@
     public final int position;
     public final int primary;
     public final int util;
+    public final int queue;
     public final List<String> names;
     private final long origin;
 
@@ -21,6 +22,7 @@
         position = names.indexOf("x0");
         primary = names.indexOf("x1");
         util = names.indexOf("utilization");
+        queue = names.indexOf("backlog");
     }
 
     /** Rounded down, since a position that is too new would let a stale read through. */
--- a/router/src/main/java/basaltlever/model/Node.java
+++ b/router/src/main/java/basaltlever/model/Node.java
@@ -14,6 +14,10 @@
     /** Replaced as primary, and has not said since that it is a replica. */
     public boolean deposed;
     public int listedIn;
+    /** By which all routers order the members of a group alike. */
+    public int rank;
+    /** It has answered something, if only a poll. */
+    public boolean heard;
 
     /** The latest moments at which it is known to have been primary, and not to have been. */
     public Moment claimed = Moment.LONG_AGO;
@@ -22,6 +26,8 @@
     public Moment position = Moment.LONG_AGO;
 
     public double util;
+    /** Its reports tell of its load. */
+    public boolean tellsLoad;
     public Moment pollDue = Moment.LONG_AGO;
     public Moment pollSent = Moment.LONG_AGO;
     public boolean pollOut;
@@ -36,6 +42,9 @@
     /** When it last refused a connection at once. */
     public Moment refusedAt = Moment.LONG_AGO;
     public boolean silent;
+    /** Statements sent to it in vain to see whether the silence is over. */
+    public int trials;
+    public Moment triedAt = Moment.LONG_AGO;
     public boolean down;
     public Moment downSince = Moment.NEVER;
     /** Response time over SLO time lately, less what is usual. */
@@ -63,6 +72,7 @@
 
     public Node(int id, double room) {
         this.id = id;
+        rank = id;
         this.room = room;
     }
 }
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -303,13 +303,14 @@
                 gauges.primary < 0 ? role : gauges.role(gauges.value(values, gauges.primary)),
                 gauges.position < 0 ? told
                     : gauges.position(Math.nextDown(gauges.value(values, gauges.position))),
-                gauges.value(values, gauges.util)));
+                gauges.value(values, gauges.util), gauges.value(values, gauges.queue)));
         }
 
         @Override
         void lost(Ending ending) {
             links.apply(node).looked();
-            turn.hear(now -> core.polled(now, node, ending, Role.UNTOLD, Moment.LONG_AGO, Double.NaN));
+            turn.hear(now -> core.polled(now, node, ending, Role.UNTOLD, Moment.LONG_AGO, Double.NaN,
+                Double.NaN));
         }
     }
 
--- a/router/src/test/java/basaltlever/ChangeTest.java
+++ b/router/src/test/java/basaltlever/ChangeTest.java
@@ -116,7 +116,7 @@
         int held = world.take(WRITE);
         world.later(700).poll(0, Role.REPLICA, world.now);
         held = world.take(WRITE);
-        world.balance.polled(world.now, 1, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, 0);
+        world.balance.polled(world.now, 1, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, 0, Double.NaN);
         check(last(world) == Phase.CALLED_OFF, "the target died");
         world.later(20).poll(2, Role.PRIMARY, world.now);
         check(world.last().statement() == held && world.last().node() == 2,
--- a/router/src/test/java/basaltlever/HoldTest.java
+++ b/router/src/test/java/basaltlever/HoldTest.java
@@ -132,7 +132,7 @@
         world = new StandIn(true, true, true, false, true).steady(20);
         int missed = world.take(BOUNDED);
         Sent kept = world.last();
-        world.balance.polled(world.now, 0, Ending.COMPLETED, Role.PRIMARY, world.now, 1);
+        world.balance.polled(world.now, 0, Ending.COMPLETED, Role.PRIMARY, world.now, 1, Double.NaN);
         world.relist(3 - kept.node(), Listing.DRAINING, Moment.LONG_AGO);
         world.later(45).end(kept, Ending.MISS, Role.REPLICA);
         check(world.sent.size() == 1 && world.rejected.isEmpty(), "the primary is busy for now");
@@ -253,8 +253,8 @@
         int node = world.last().node();
         world.later(300).end(world.last(), Ending.COMPLETED, Role.REPLICA);
         for (int i = 0; i < 3; i++) {
-            world.balance.polled(world.now, 3 - node, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, 0);
-            world.balance.polled(world.now, node, Ending.TIMED_OUT, Role.UNTOLD, Moment.LONG_AGO, 0);
+            world.balance.polled(world.now, 3 - node, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, 0, Double.NaN);
+            world.balance.polled(world.now, node, Ending.TIMED_OUT, Role.UNTOLD, Moment.LONG_AGO, 0, Double.NaN);
         }
         world.take(ANY);
         check(world.last().node() == node, "it answered just before");
@@ -330,7 +330,7 @@
             world.later(100);
             for (int node = 0; node < 3; node++) {
                 Role role = node == 0 ? Role.PRIMARY : Role.REPLICA;
-                world.balance.polled(world.now, node, Ending.COMPLETED, role, world.now, jammed ? 1.1 : 0.5);
+                world.balance.polled(world.now, node, Ending.COMPLETED, role, world.now, jammed ? 1.1 : 0.5, Double.NaN);
             }
             int before = world.sent.size();
             world.take(ANY);
--- a/router/src/test/java/basaltlever/RulesTest.java
+++ b/router/src/test/java/basaltlever/RulesTest.java
@@ -121,7 +121,7 @@
                 if (step < 80 || step > 105) {
                     world.poll(1, Role.REPLICA, world.now);
                 } else {
-                    world.balance.polled(world.now, 1, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, 0);
+                    world.balance.polled(world.now, 1, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, 0, Double.NaN);
                 }
                 world.poll(2, Role.REPLICA, world.now);
                 if (step == 120) {
@@ -178,7 +178,7 @@
                 case 0 -> world.take(chance.nextInt(6), chance.nextInt(3), world.now.minus(ms(50)), 400);
                 case 1 -> world.balance.polled(world.now, chance.nextInt(3),
                     endings[chance.nextInt(endings.length)],
-                    Role.values()[chance.nextInt(3)], when, odd[chance.nextInt(odd.length)]);
+                    Role.values()[chance.nextInt(3)], when, odd[chance.nextInt(odd.length)], Double.NaN);
                 case 2 -> {
                     if (!world.sent.isEmpty()) {
                         int back = Math.min(world.sent.size(), 1 + chance.nextInt(4));
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -168,7 +168,7 @@
     }
 
     void poll(int node, Role role, Moment position) {
-        balance.polled(now, node, Ending.COMPLETED, role, position, 0.5);
+        balance.polled(now, node, Ending.COMPLETED, role, position, 0.5, Double.NaN);
     }
 
     /** Three members, node 0 primary, the replicas shown at the given age. */
@@ -336,10 +336,10 @@
         after(plays.nextInt(1, 10), () -> {
             if (member.alive) {
                 balance.polled(now, node, Ending.COMPLETED, primary ? Role.PRIMARY : Role.REPLICA, position,
-                    plays.nextInt(20) == 0 ? Double.NaN : plays.nextDouble());
+                    plays.nextInt(20) == 0 ? Double.NaN : plays.nextDouble(), Double.NaN);
             } else {
                 balance.polled(now, node, plays.nextBoolean() ? Ending.TIMED_OUT : Ending.NO_CONNECTION,
-                    Role.UNTOLD, Moment.LONG_AGO, Double.NaN);
+                    Role.UNTOLD, Moment.LONG_AGO, Double.NaN, Double.NaN);
             }
         });
     }
