--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -594,10 +594,9 @@
         Node advanced = null;
         boolean fits = false;
         int out = 0;
-        int best = 8;
+        int best = 16;
         int seen = 0;
         Node burdened = burdened(statement);
-        boolean boundedOnly = statement.terms.needs() != Needs.ANY;
         if (burdened != null && isLong(statement.workload)) {
             return burdened;
         }
@@ -612,7 +611,8 @@
                 continue;
             }
             fits = true;
-            int tier = (proven && (member != burdened || !boundedOnly) ? 0 : 2) + (failing(member) < FAILING ? 0 : 4) + (avoids(member) ? 1 : 0);
+            int tier = (avoids(member) ? 1 : 0) + (proven ? 0 : 2) + (member == burdened ? 4 : 0)
+                + (failing(member) < FAILING ? 0 : 8);
             // A cold one is drawn as often as it is warm: by busyness a light router would never choose it.
             if (!hasRoom(member, 1) || tier > best || chance.nextDouble() >= warmth(member)) {
                 continue;
