--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -64,7 +64,6 @@
     private static final double UNUSUAL = 2.5;
     private static final int MOST_TRIALS = 2;
     private static final double UNTOLD_UTIL = 0.5;
-    private static final double FULLY_STRAINED = 0.65;
     private static final int MOST_PREPARED = 16;
 
     private static final Comparator<Statement> BY_IMPORTANCE =
@@ -304,11 +303,11 @@
             up(node);
             if (util >= 0 && util <= 2) {
                 node.util = Math.min(1, util);
+                node.tellsCores = true;
             } else if (queue >= 0) {
                 // Whoever has statements waiting has no core to spare; how many it has is not told.
                 node.util = queue >= 0.5 ? 1 : UNTOLD_UTIL;
             }
-            node.tellsLoad |= util >= 0 || queue >= 0;
             Span reportAge = node.group.reportAge;
             boolean sane = position.isAfter(Moment.LONG_AGO) && !position.isAfter(now);
             if (sane) {
@@ -982,10 +981,11 @@
             }
         }
         boolean late = !took.isShorterThan(statement.terms.slo().times(0.9));
+        boolean untold = !node.tellsCores && now.since(node.pollSent).isLongerThan(SECOND.times(2));
         if (late && now.since(node.pollSent).isLongerThan(SECOND)) {
             pollNow(node);
         }
-        boolean jammed = late && node.util > BUSY || ending == Ending.FULL;
+        boolean jammed = late && (node.util > BUSY || untold) || ending == Ending.FULL;
         if ((jammed || ending == Ending.COMPLETED && !late) && statement.terms.needs() != Needs.WRITE) {
             Fading jam = node == node.group.primary ? node.group.primaryJam : node.group.jam;
             jam.move(now, REMEMBERED, weight(jam.since()), jammed ? 1 : 0);
@@ -1011,10 +1011,6 @@
         double strain = strain(node) + weight(node.strained.since()) * (latest - strain(node));
         usualStrain += LEARN / 4 * (strain - usualStrain);
         node.strained.set(now, strain - usualStrain);
-        if (!node.tellsLoad) {
-            // Nothing tells of its cores: the slower it answers, the busier they are held to be.
-            node.util = Math.min(1, strain / FULLY_STRAINED);
-        }
         if (Math.min(strain, latest) > (node.util > BUSY ? STRAINED : HOPELESS)) {
             node.room = Math.max(LEAST_ROOM, node.room - Math.min(0.3, 0.1 * node.room));
         } else if (node.out + 1 > 0.7 * node.room && strain < 1.5 * STRAINED) {
--- a/router/src/main/java/basaltlever/model/Node.java
+++ b/router/src/main/java/basaltlever/model/Node.java
@@ -26,8 +26,8 @@
     public Moment position = Moment.LONG_AGO;
 
     public double util;
-    /** Its reports tell of its load. */
-    public boolean tellsLoad;
+    /** Its reports tell how busy its cores are. */
+    public boolean tellsCores;
     public Moment pollDue = Moment.LONG_AGO;
     public Moment pollSent = Moment.LONG_AGO;
     public boolean pollOut;
