--- a/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
+++ b/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
@@ -46,6 +46,7 @@
         RUN.put("warm_ms", new double[] {3_000, 0, 60_000});
         RUN.put("poll_price", new double[] {0.01, 0, 1});
         RUN.put("load", new double[] {1, 0.01, 100});
+        RUN.put("switch_ms", new double[] {0, 0, 600_000});
         RUN.put("all_at_once_s", new double[] {0, 0, 7_200});
         RUN.put("all_share", new double[] {1, 0, 1});
     }
@@ -232,6 +233,11 @@
 
     /** The settings of a router's start file. */
     public String settings() {
+        return settings(false);
+    }
+
+    /** Of this shape, or of another: one execution out at most, only drains bind, a queue in place of busy cores. */
+    public String settings(boolean another) {
         String classes = kinds.stream().map(kind -> "{\"Name\":\"" + kind.name() + "\",\"Repeat\":\""
             + kind.repeat()
             + "\",\"Slo\":" + kind.slo().micros() + ",\"HardLimit\":" + kind.timeout().micros()
@@ -244,15 +250,15 @@
             .collect(Collectors.joining(","));
         return "{\"Balancers\":" + count("routers")
             + ",\"Zone\":0,\"Zones\":[\"a\"],\"Discovery\":\"on_request\","
-            + "\"Bounds\":{\"Cancel\":true,\"ConnectTimeout\":250000,\"IdleClose\":15000000,\"MaxAttempts\":4,"
-            + "\"MaxOpen\":5000,\"MaxRetryAfter\":1000000,\"MayDuplicate\":true,\"MayProbe\":true,\"RetryAfter\":true,"
+            + "\"Bounds\":{\"Cancel\":true,\"ConnectTimeout\":250000,\"IdleClose\":15000000,\"MaxAttempts\":" + (another ? 6 : 4) + ","
+            + "\"MaxOpen\":5000,\"MaxRetryAfter\":1000000,\"MayDuplicate\":" + !another + ",\"MayProbe\":true,\"RetryAfter\":true,"
             + "\"StreamsPerConn\":1},\"Classes\":[" + classes + "],\"Costs\":{\"Probe\":"
             + number("poll_price") + "},"
-            + "\"Reporting\":{\"How\":\"probe\",\"Fields\":[\"x0\",\"x1\",\"utilization\"]},"
+            + "\"Reporting\":{\"How\":\"probe\",\"Fields\":[\"x0\",\"x1\",\"" + (another ? "backlog" : "utilization") + "\"]},"
             + "\"FamilyInfo\":{\"Checks\":\"" + (replicasCheck ? "refuse" : "none") + "\",\"ClassRead\":["
             + needs
             + "],\"LagAllowed\":[" + bounds + "],\"ProgressTold\":true,\"SessionMarks\":\"carried\"},"
-            + "\"Rules\":{\"AnswerSlack\":20000,\"Cold\":10000000,\"ColdFrom\":0.3,\"FallMultiple\":3.0,"
+            + "\"Rules\":{\"RemovalNotBinding\":" + another + ",\"AnswerSlack\":20000,\"Cold\":10000000,\"ColdFrom\":0.3,\"FallMultiple\":3.0,"
             + "\"Fall\":1000000,\"DrainGrace\":" + span("grace_ms").micros() + ",\"MustAskIn\":10000000}}";
     }
 
--- a/lab/src/main/java/basaltlever/lab/sockets/RouterProcess.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/RouterProcess.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,8 @@
 public final class RouterProcess implements AutoCloseable {
     private static final int READY_MILLIS = 15_000;
     private final Path startFile;
+    /** Of its start file, up to the settings. */
+    private final String head;
     private final List<String> command = new ArrayList<>();
     private final InetSocketAddress address;
     private final Path log;
@@ -25,13 +28,13 @@
                          String known, String settings, String operator) throws IOException {
         address = new InetSocketAddress("127.0.0.1", port);
         log = folder.resolve(name + ".log");
-        startFile = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
+        head = "{\"name\":\"" + name
             + "\",\"listen\":\""
             + "127.0.0.1:" + port + "\",\"discovery\":\"" + discovery + "\",\"seed\":\""
             + Long.toHexString(seed)
             + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" + known
-            + ",\"settings\":"
-            + settings + "}");
+            + ",\"settings\":";
+        startFile = Files.writeString(folder.resolve(name + ".json"), head + settings + "}");
         command.addAll(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx96m", "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1", "-Xshare:auto"));
         command.addAll(flags);
@@ -50,6 +53,7 @@
         address = new InetSocketAddress("127.0.0.1", port);
         log = folder.resolve("bare.log");
         startFile = null;
+        head = "";
         command.addAll(List.of(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1", "-Xshare:auto"));
         command.addAll(flags);
@@ -63,6 +67,13 @@
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
     }
 
+    /** The operator's step: the file is replaced in one piece, then SIGHUP. */
+    public void takes(String settings) throws IOException, InterruptedException {
+        Path next = Files.writeString(startFile.resolveSibling(startFile.getFileName() + ".new"), head + settings + "}");
+        Files.move(next, startFile, StandardCopyOption.ATOMIC_MOVE);
+        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+    }
+
     public static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
--- a/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
@@ -71,10 +71,9 @@
             }
             loop.submit(() -> fronts.forEach(Server::listens)).get();
             ListFront list = new ListFront(world, r, loop, server -> fronts.get(server).address());
-            String settings = scenario.settings().replaceFirst("\\{", "{\"Me\":" + r + ",");
             routers.add(new RouterProcess("n" + (r + 1), folder, jar, List.of(), r == 0 && port > 0 ? port
                 : RouterProcess.freePort(),
-                list.address(), chance.nextLong(), list.list(), settings,
+                list.address(), chance.nextLong(), list.list(), settings(r, false),
                 operator.replace("{folder}", Files.createDirectory(folder.resolve("view" + r)).toString())));
         }
         for (RouterProcess router : routers) {
@@ -98,6 +97,10 @@
         return ask;
     }
 
+    private String settings(int router, boolean another) {
+        return scenario.settings(another).replaceFirst("\\{", "{\"Me\":" + router + ",");
+    }
+
     public World world() {
         return world;
     }
@@ -133,7 +136,16 @@
             }
             return made;
         }).get();
-        Thread.sleep(seconds.micros() / 1_000);
+        long ends = System.nanoTime() + seconds.micros() * 1_000;
+        int switches = 0;
+        for (long step = (long) scenario.number("switch_ms"); step > 0
+                && System.nanoTime() + step * 1_000_000 < ends; switches++) {
+            Thread.sleep(step);
+            for (int r = 0; r < routers.size(); r++) {
+                routers.get(r).takes(settings(r, switches % 2 == 0));
+            }
+        }
+        Thread.sleep(Math.max(0, (ends - System.nanoTime()) / 1_000_000));
         long until = System.nanoTime() + SETTLES_MILLIS * 1_000_000;
         while (!loop.submit(load::isOver).get() && System.nanoTime() < until) {
             Thread.sleep(50);
@@ -145,6 +157,7 @@
         figures.put("cpu_us_a_statement", (routers.stream().mapToDouble(RouterProcess::cpuMicros).sum() - cpu)
             / Math.max(1, ((Number) figures.get("statements")).doubleValue()));
         figures.put("routers_restarted", restarts);
+        figures.put("switches", switches);
         figures.put("routers_died", routers.stream().filter(router -> !router.process().isAlive()).count());
         return figures;
     }
--- a/lab/src/main/java/basaltlever/lab/virtual/Bug.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/Bug.java
@@ -14,5 +14,9 @@
     /** A drain is not heard of. */
     IGNORES_DRAINS,
     /** Every hundredth answer is dropped. */
-    DROPS_ANSWERS
+    DROPS_ANSWERS,
+    /** What was taken under the old settings is forgotten with them. */
+    SWITCH_FORGETS,
+    /** What is out at a switch of settings is taken for never run. */
+    SWITCH_REPEATS
 }
--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
@@ -32,6 +32,7 @@
     private final Map<Long, Taken> taken = new HashMap<>();
     private final Bug bug;
     private final java.util.Set<String> wasPrimary = new java.util.HashSet<>();
+    private boolean onlyOne;
     private int answers;
     private int reads;
     private final Core<String> core;
@@ -73,6 +74,19 @@
         }
     }
 
+    /** Other settings, as after a reload. */
+    void agree(StartValues values, boolean oneOut) {
+        onlyOne = oneOut;
+        for (Map.Entry<Long, Taken> entry : Map.copyOf(taken).entrySet()) {
+            Taken of = entry.getValue();
+            of.answered |= bug == Bug.SWITCH_FORGETS;
+            for (int i = 0; bug == Bug.SWITCH_REPEATS && i < of.out.size(); i++) {
+                ends(entry.getKey(), of, of.out.get(i), i, Ending.NO_CONNECTION, Role.UNTOLD, Moment.LONG_AGO, null);
+            }
+        }
+        turn(() -> core.agree(world.now(), values.agreement(world.now())));
+    }
+
     private Span hop() {
         return Span.ofMillis(0.15 + 0.3 * chance.nextDouble());
     }
@@ -151,6 +165,9 @@
         Out out = new Out();
         of.out.add(out);
         of.open++;
+        if (onlyOne && of.open > 1) {
+            world.ledger.copied(of.ask);
+        }
         Server server = servers.get(node);
         Span left = of.leaves.since(world.now());
         Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRun.java
@@ -24,6 +24,8 @@
     private final World world;
     private final Faults faults;
     private final List<VirtualRouter> routers = new ArrayList<>();
+    private final List<StartValues> shapes;
+    private int switches;
 
     public VirtualRun(Scenario scenario, long seed) throws StartFault {
         this(scenario, seed, Bug.NONE);
@@ -39,14 +41,27 @@
         faults = new Faults(world, scenario.faults, scenario.span("faults_from_ms"),
             scenario.span("faults_to_ms"),
             count);
-        StartValues values = StartFile.of("{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"settings\":"
-            + scenario.settings() + "}").values();
+        shapes = List.of(values(false), values(true));
         for (int r = 0; r < count; r++) {
-            routers.add(new VirtualRouter(r, world, values, scenario.changes, bug));
+            routers.add(new VirtualRouter(r, world, shapes.get(0), scenario.changes, bug));
         }
         time.runUntil(time.now().plus(LOOKS));
     }
 
+    private StartValues values(boolean another) throws StartFault {
+        return StartFile.of("{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"settings\":"
+            + scenario.settings(another) + "}").values();
+    }
+
+    /** All routers to the other shape, and with the next step back. */
+    private void switchOn(Span every) {
+        time.after(every, () -> {
+            switches++;
+            routers.forEach(router -> router.agree(shapes.get(switches % 2), switches % 2 == 1));
+            switchOn(every);
+        });
+    }
+
     public World world() {
         return world;
     }
@@ -65,6 +80,9 @@
             }
         }, faults, scenario.loaded(), routers.size());
         load.runFor(seconds);
+        if (scenario.number("switch_ms") > 0) {
+            switchOn(scenario.span("switch_ms"));
+        }
         faults.runFor(seconds.minus(Span.ofMillis(500)));
         if (scenario.allAtOnce != null) {
             time.after(scenario.span("all_at_once_s").times(1_000),
@@ -73,6 +91,7 @@
         time.runUntil(time.now().plus(seconds).plus(SETTLES));
         Map<String, Object> figures = world.ledger.figures();
         figures.put("faults", faults.done());
+        figures.put("switches", switches);
         figures.put("promotion_ms", world.promotionMillis());
         if (scenario.allAtOnce != null) {
             figures.put("recovered_95_s", world.series().recovery(scenario.number("seconds")));
--- a/lab/src/main/java/basaltlever/lab/world/Ledger.java
+++ b/lab/src/main/java/basaltlever/lab/world/Ledger.java
@@ -42,7 +42,7 @@
         this.series = series;
         for (String name : List.of("statements", "completed", "rejected", "aborted", "left", "unanswered",
             "lost",
-            "doubled", "rejected_ran", "aborts_unjustified", "stale", "late_to_draining", "cold_toppled",
+            "doubled", "rejected_ran", "aborts_unjustified", "stale", "late_to_draining", "cold_toppled", "copied",
             "answered_late", "in_time")) {
             counts.put(name, 0);
         }
@@ -90,6 +90,10 @@
         }
     }
 
+    public void copied(Ask ask) {
+        broken("copied", ask.id + " was out twice where that is not allowed");
+    }
+
     void troubled(Shard group, Moment now) {
         troubles.put(group.number, now);
     }
--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -55,7 +55,6 @@
     private static final double LEAST_CHANCE = 1.5;
     private static final double FOR_WRITES = 0.3;
     private static final double PATIENCE = 0.125;
-    private static final double ASKING = 0.06;
     private static final double FAILING = 0.3;
     private static final double DEAR = 0.3;
     private static final double HELD = 0.48;
@@ -77,15 +76,15 @@
 
     private final Outbound outbound;
     private final SplittableRandom chance;
-    private final Standing standing;
-    private final Workload[] workloads;
-    private final Replication replication;
-    private final Drains drains;
-    private final WarmUp warmUp;
-    final Allowance allowance;
-    private final Connections connections;
-    private final double topImportance;
-    private final Span cadence;
+    private Standing standing;
+    private Workload[] workloads;
+    private Replication replication;
+    private Drains drains;
+    private WarmUp warmUp;
+    Allowance allowance;
+    private Connections connections;
+    private double topImportance;
+    private Span cadence;
 
     final Map<Integer, Node> nodes = new TreeMap<>();
     final Map<Integer, Group> groups = new HashMap<>();
@@ -95,7 +94,6 @@
     private final ArrayDeque<Group> changed = new ArrayDeque<>();
     private final double[] typical;
     double typicalOfAll;
-    private final double meanSlo;
     private double usualStrain = 0.25;
     private double opening;
     private final Fading scarce = new Fading();
@@ -129,19 +127,27 @@
                    Connections connections, HoldBudget holds, Moment now) {
         this.outbound = outbound;
         this.chance = chance;
-        this.standing = standing;
-        this.workloads = workloads;
-        this.replication = replication;
-        this.drains = drains;
-        this.warmUp = warmUp;
-        this.allowance = allowance;
-        this.connections = connections;
         this.holds = holds;
-        this.now = now;
+        agree(now, standing, workloads, replication, drains, warmUp, allowance, connections);
         watchDue = drains.askedFor() ? now : Moment.NEVER;
         typical = Arrays.stream(workloads).mapToDouble(workload -> workload.slo().micros() / 4.0).toArray();
         typicalOfAll = Arrays.stream(typical).average().orElse(0);
-        meanSlo = 4 * typicalOfAll;
+    }
+
+    /**
+     * From now on these hold, in place of those before; workloads stay as many, in their order. What was taken
+     * keeps the terms under which it was taken, and of more executions than may be out the first goes on.
+     */
+    public void agree(Moment at, Standing where, Workload[] kinds, Replication following, Drains leaving,
+                      WarmUp warming, Allowance allowed, Connections carried) {
+        now = at;
+        standing = where;
+        workloads = kinds;
+        replication = following;
+        drains = leaving;
+        warmUp = warming;
+        allowance = allowed;
+        connections = carried;
         topImportance = Arrays.stream(workloads).mapToDouble(Workload::importance).max().orElse(1);
         Span tightest = SECOND.times(4);
         for (Workload terms : workloads) {
@@ -149,6 +155,13 @@
         }
         cadence = tightest.times(replication.replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
             .shorter(SECOND);
+        for (Statement statement : open) {
+            if (statement.out > 1 && !allowance.secondCopies()) {
+                callOff(statement, statement.firstOut() + 1);
+            }
+        }
+        // A member may be bound, or free, by the new rules; each is asked at once.
+        nodes.values().forEach(node -> relist(node, node.listing));
     }
 
     // ---- What the router hears.
@@ -523,7 +536,7 @@
             return;
         }
         Group group = statement.group;
-        if (isOverdue(statement) || !mayRunAgain(statement) || statement.errors > 1
+        if (isOverdue(statement) || !mayRunAgain(statement, statement.out) || statement.errors > 1
             || isShed(statement, statement.terms.onlyPrimary() ? group.primaryJam : group.jam)) {
             if (statement.out == 0) {
                 giveUp(statement, group.phase == Phase.HOLD && statement.terms.onlyPrimary()
@@ -635,10 +648,6 @@
         if (!fits && checks && advanced != null && !lag(advanced).isLongerThan(allowed.times(2))) {
             return hasRoom(advanced, 1) ? advanced : null;
         }
-        if (!fits && !replication.replicasCheck() && !allowed.isShorterThan(group.reportAge)
-            && asksFirst(statement)) {
-            return null;
-        }
         return primaryFor(statement);
     }
 
@@ -651,29 +660,25 @@
     // the same order of its members, so they agree without a word on who bears them: the first that is not
     // crowded, out of the first half.
     private Node burdened(Statement statement) {
-        if (IntStream.range(0, workloads.length).noneMatch(this::isLong)) {
-            return null;
-        }
-        List<Node> able = new ArrayList<>(statement.group.members.size());
-        for (Node member : statement.group.members) {
+        List<Node> able = new ArrayList<>();
+        boolean any = IntStream.range(0, workloads.length).anyMatch(this::isLong);
+        for (int i = 0; any && i < statement.group.members.size(); i++) {
+            Node member = statement.group.members.get(i);
             if (member != statement.group.primary && isUsable(member, statement) && failing(member) < FAILING) {
                 able.add(member);
             }
         }
         able.sort(BY_RANK);
         Node bears = null;
-        for (Node member : able.subList(0, Math.min(able.size(), Math.max(1, able.size() / 2)))) {
-            if (!statement.wasSentTo(member) && (bears == null || crowd(bears) > CROWDED && crowd(member) < crowd(bears))) {
+        for (Node member : able.subList(0, Math.max(Math.min(1, able.size()), able.size() / 2))) {
+            if (!statement.wasSentTo(member) && (bears == null || strain(bears) > usualStrain + CROWDED
+                && strain(member) < strain(bears))) {
                 bears = member;
             }
         }
         return bears;
     }
 
-    private double crowd(Node node) {
-        return node.strained.at(now, FORGIVEN);
-    }
-
     private boolean hasWaited(Statement statement, double share) {
         return !now.isBefore(statement.takenAt.plus(statement.terms.slo().times(share)));
     }
@@ -694,31 +699,6 @@
         node.lag.set(now, Math.max(0, lag.micros()));
     }
 
-    // Regular polls of a light router are too rare to prove a replica new enough, and a primary can't take
-    // every read: two replicas are asked just before, and the read waits for one round trip.
-    private boolean asksFirst(Statement statement) {
-        List<Node> members = statement.group.members;
-        int start = chance.nextInt(Math.max(1, members.size()));
-        int asked = hasWaited(statement, ASKING) ? 2 : 0;
-        for (Node member : members) {
-            if (member.pollOut && asked == 0 && isUsable(member, statement)) {
-                return true;
-            }
-            asked = member.pollSent.isBefore(statement.takenAt) ? asked : 2;
-        }
-        boolean waits = false;
-        for (int i = 0; i < members.size() && asked < 2; i++) {
-            Node member = members.get((start + i) % members.size());
-            if (member != statement.group.primary && isUsable(member, statement)
-                && now.since(member.pollSent).isLongerThan(FASTEST_POLL)) {
-                pollNow(member);
-                asked++;
-                waits = true;
-            }
-        }
-        return waits;
-    }
-
     private boolean isUsable(Node node, Statement statement) {
         boolean onTrial = node.out == 0
             && !now.since(node.silentSince.later(node.triedAt)).isShorterThan(TRIAL.times(1 << node.trials));
@@ -751,15 +731,17 @@
             // Even where late is worth a little, a queue of what is late would make all others late.
             timeout = statement.takenAt.plus(terms.slo().times(1 + 2 * terms.lateShare())).since(now);
         }
-        // Where only one may be out, what is lost in a node is found out early enough to try another.
-        double multiple = node.silent || failing(node) >= FAILING ? UNUSUAL : 2 * UNUSUAL;
-        Span unusual = new Span((long) (multiple * typical[statement.workload]));
-        Span forTwo = unusual.plus(new Span((long) (LEAST_CHANCE * typical[statement.workload])));
+        // Where only one may be out, what a node loses is found out early enough to try another: reads where it
+        // is known to lose some, writes that may run again after twice as long.
+        double usual = typical[statement.workload];
+        boolean write = terms.repeat() == Repeat.DEDUPLICATED;
+        Span early = new Span((long) (usual * (write ? 2 * UNUSUAL : UNUSUAL)));
         if (!allowance.secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
-            && now.plus(forTwo).isBefore(statement.takenAt.plus(terms.slo()))
-            && (terms.repeat() == Repeat.IDEMPOTENT && multiple == UNUSUAL
-                || now.plus(unusual).isBefore(statement.mayHaveRunSince().earlier(now).plus(terms.window())))) {
-            timeout = unusual;
+            && (write || node.silent || failing(node) >= FAILING)
+            && now.plus(early).plus(new Span((long) (LEAST_CHANCE * usual)))
+                .isBefore(statement.takenAt.plus(terms.slo()))
+            && (!write || now.plus(early).isBefore(statement.mayHaveRunSince().earlier(now).plus(terms.window())))) {
+            timeout = early;
         }
         boolean opens = !isConnected(node);
         node.idle = opens ? 0 : node.idle - 1;
@@ -786,16 +768,10 @@
     // ---- Further executions and final answers.
 
     /** How often by importance; whether at all by what an earlier execution may have done. */
-    private boolean mayRunAgain(Statement statement) {
-        return mayRunAgain(statement, 0);
-    }
-
-    /** As if so many of its executions had ended. */
-    private boolean mayRunAgain(Statement statement, int ended) {
-        int stillOut = statement.out - ended;
-        int spare = allowance.executions() - 2;
+    private boolean mayRunAgain(Statement statement, int stillOut) {
+        int spare = statement.nodes.length - 2;
         double share = statement.terms.importance() / topImportance;
-        if (statement.executions >= Math.min(allowance.executions(), 2 + (int) Math.ceil(spare * share))) {
+        if (statement.executions >= Math.min(statement.nodes.length, 2 + (int) Math.ceil(spare * share))) {
             return false;
         }
         return switch (statement.terms.repeat()) {
@@ -858,11 +834,11 @@
         if (statement.queued && statement.terms.onlyPrimary()) {
             takeOut(statement);
         }
-        callOff(statement);
+        callOff(statement, 0);
     }
 
-    private void callOff(Statement statement) {
-        for (int i = 0; allowance.cancels() && statement.out > 0 && i < statement.executions; i++) {
+    private void callOff(Statement statement, int from) {
+        for (int i = from; allowance.cancels() && statement.out > 0 && i < statement.executions; i++) {
             if (statement.isOut[i]) {
                 outbound.cancel(statement.id, i);
             }
@@ -897,12 +873,12 @@
                     takeOut(statement);
                     unplaced.add(statement);
                 }
-            } else if (stuck && mayRunAgain(statement, allowance.secondCopies() ? 0 : statement.out)) {
+            } else if (stuck && mayRunAgain(statement, allowance.secondCopies() ? statement.out : 0)) {
                 // Waiting on nodes that answer nobody: another execution elsewhere may still be in time.
                 if (allowance.secondCopies()) {
                     unplaced.add(statement);
                 } else {
-                    callOff(statement);
+                    callOff(statement, 0);
                 }
             }
         }
@@ -911,9 +887,9 @@
 
     /** What commonly takes long tells of a silence only late, and what was sent just now of none yet. */
     private void noteSilence(Node node, Statement statement, Moment sent) {
-        double slowed = Math.max(1, strain(node) / usualStrain);
-        Span patience = new Span((long) (typical[statement.workload] * slowed * (2 + 4.0 / Math.max(1, node.out))));
-        if (!node.silent && now.since(node.owesSince.later(sent)).isLongerThan(patience.longer(LEAST_SILENCE))) {
+        double usual = typical[statement.workload] * Math.max(1, strain(node) / usualStrain);
+        Span patience = new Span((long) (usual * (2 + 4.0 / Math.max(1, node.out)))).longer(LEAST_SILENCE);
+        if (!node.silent && now.since(node.owesSince.later(sent)).isLongerThan(patience)) {
             pollNow(node);
             fallSilent(node);
         }
--- a/router/src/main/java/basaltlever/config/StartFile.java
+++ b/router/src/main/java/basaltlever/config/StartFile.java
@@ -17,6 +17,8 @@
 public final class StartFile {
     private static final long LARGEST = 16 << 20;
     private static final int FEWEST_SOCKETS = 64;
+    /** What the list of members and the bounds of memory were built with. */
+    private static final List<String> FIXED = List.of("Zones", "Bounds.MaxOpen");
 
     private final Map<?, ?> tree;
     private final String name;
@@ -103,8 +105,27 @@
 
     /** The keys that differ from the other file and that a running router can't take over. */
     public List<String> restartsFor(StartFile other) {
-        return Stream.of("name", "listen", "limits.cores", "limits.memory_mb", "settings")
-            .filter(key -> !Objects.equals(at(key), other.at(key))).toList();
+        return differing(other, Stream.of("name", "listen", "limits.cores", "limits.memory_mb"));
+    }
+
+    /**
+     * The keys under settings that differ and that hold for as long as a router runs: one of them keeps all
+     * others from being taken over, or a part of the program would go by the old and a part by the new.
+     */
+    public List<String> fixedFor(StartFile other) {
+        List<String> keys = new ArrayList<>(differing(other, FIXED.stream().map(key -> "settings." + key)));
+        if (!values.workloadNames().equals(other.values.workloadNames())) {
+            keys.add("settings.Classes[].Name");
+        }
+        return keys;
+    }
+
+    public boolean hasSettingsOf(StartFile other) {
+        return Objects.equals(at("settings"), other.at("settings"));
+    }
+
+    private List<String> differing(StartFile other, Stream<String> keys) {
+        return keys.filter(key -> !Objects.equals(at(key), other.at(key))).toList();
     }
 
     private Object at(String key) {
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** What is agreed with a router at start, from either form of it. Spans are given in microseconds. */
@@ -131,6 +132,12 @@
             replication, drains, warmUp, allowance, connections, holds, now);
     }
 
+    /** The same for decisions that are under way. */
+    public Consumer<Balance> agreement(Moment now) {
+        return balance -> balance.agree(now, standing, workloads, replication, drains, warmUp, allowance,
+            connections);
+    }
+
     public Gauges gauges(long origin) {
         return new Gauges(keys.list("Reporting.Fields"), origin);
     }
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -50,6 +51,12 @@
 
     // ---- What is heard from outside.
 
+    /** Other values for the decisions, as agreed from now on. */
+    public void agree(Moment now, Consumer<Balance> values) {
+        values.accept(balance);
+        balance.woken(now);
+    }
+
     public void listBegins() {
         balance.listBegins();
     }
--- a/router/src/main/java/basaltlever/log/Event.java
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -14,6 +14,8 @@
     RELOADED("reloaded", "discovery"),
     RELOAD_REFUSED("reload_refused", "cause"),
     NEEDS_RESTART("needs_restart", "key"),
+    SETTINGS_TAKEN("settings_taken", "open"),
+    SETTINGS_LEFT("settings_left", "keys"),
     KNOWN_LEFT_OUT("known_left_out", "cause"),
     PRIMARY_FOUND("primary_found", "group", "node"),
     PRIMARY_LOST("primary_lost", "group", "node"),
--- a/router/src/main/java/basaltlever/model/Statement.java
+++ b/router/src/main/java/basaltlever/model/Statement.java
@@ -77,6 +77,14 @@
         return false;
     }
 
+    public int firstOut() {
+        int first = 0;
+        while (!isOut[first]) {
+            first++;
+        }
+        return first;
+    }
+
     /** The earliest sending of those that may have run or may be running. */
     public Moment mayHaveRunSince() {
         Moment since = firstMayHaveRun;
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -31,8 +31,8 @@
     private final EventLoop loop;
     private final Function<String, NodeLink> links;
     private final Consumer<String> forgotten;
-    private final Gauges gauges;
-    private final Span pollTimeout;
+    private Gauges gauges;
+    private Span pollTimeout;
     private final Budget budget;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
     /** Empty where members are not asked for planned changes. */
@@ -56,6 +56,12 @@
         watch = watchStarts;
     }
 
+    /** What members' reports hold from now on, and how long one may take. */
+    void reads(Gauges by, Span within) {
+        gauges = by;
+        pollTimeout = within;
+    }
+
     void asksFor(String table) {
         changeTable = table;
     }
--- a/router/src/main/java/basaltlever/net/NodeLink.java
+++ b/router/src/main/java/basaltlever/net/NodeLink.java
@@ -21,8 +21,8 @@
     private final Clock clock;
     private final Descriptors descriptors;
     private final Budget budget;
-    private final Span connectTimeout;
-    private final Span keptFor;
+    private Span connectTimeout;
+    private Span keptFor;
     private final Tally bad;
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
     private InetSocketAddress address;
@@ -40,9 +40,13 @@
         this.clock = clock;
         this.descriptors = descriptors;
         this.budget = budget;
-        this.connectTimeout = connectTimeout;
         this.bad = bad;
-        this.keptFor = idleClose.minus(connectTimeout).longer(Span.NONE);
+        within(connectTimeout, idleClose);
+    }
+
+    void within(Span connects, Span idleClose) {
+        connectTimeout = connects;
+        keptFor = idleClose.minus(connects).longer(Span.NONE);
     }
 
     /** A poll of it was answered or has failed. */
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -75,6 +75,8 @@
     private Phase phase = Phase.READING;
     private Path file;
     private StartFile start;
+    /** The file whose settings hold. */
+    private StartFile inForce;
     private volatile OperatorFile operator;
     /** Set by the thread that starts and reloads, ended by the loop. */
     private volatile Keeper keeper;
@@ -83,6 +85,7 @@
     private MemberList list;
     private Watch watch;
     private Descriptors descriptors;
+    private Bootstrap outwards;
     private int reserved;
     private int reads;
     private MultiThreadIoEventLoopGroup group;
@@ -99,6 +102,7 @@
     public void start(Path from, OperatorFile with) throws StartFault, InterruptedException {
         file = from;
         start = StartFile.read(from);
+        inForce = start;
         operator = with;
         keeper = keeper();
         enter(Phase.LOOKING);
@@ -147,6 +151,7 @@
             next.restartsFor(start).forEach(this::needsRestart);
             descriptors.most(next.sockets() - reserved);
             watch.moveTo(next.discovery());
+            agree(next);
             heed(nextOperator);
         });
         if (nextOperator != null) {
@@ -155,6 +160,34 @@
         }
     }
 
+    /**
+     * All of the settings or none. What was taken goes on: the decisions keep its terms, its executions and who
+     * owes what, and see to it that the new rules hold for all that is sent from here on.
+     */
+    private void agree(StartFile next) {
+        if (next.hasSettingsOf(inForce)) {
+            return;
+        }
+        List<String> fixed = next.fixedFor(inForce);
+        if (!fixed.isEmpty()) {
+            Event.SETTINGS_LEFT.log(LOG, Level.ERROR, "these need a restart; all settings stay as they were",
+                String.join(",", fixed));
+            return;
+        }
+        inForce = next;
+        StartValues values = next.values();
+        longestTimeout = longestTimeout.longer(values.longestTimeout());
+        carrier.reads(values.gauges(0), values.connectTimeout());
+        connectWithin(values.connectTimeout());
+        links.values().forEach(link -> link.within(values.connectTimeout(), values.idleClose()));
+        turn.hear(now -> core.agree(now, values.agreement(now)));
+        Event.SETTINGS_TAKEN.log(LOG, Level.INFO, "", carrier.open());
+    }
+
+    private void connectWithin(Span timeout) {
+        outwards.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (timeout.micros() / 1_000));
+    }
+
     private void needsRestart(String key) {
         Event.NEEDS_RESTART.log(LOG, Level.WARN, "takes effect at the next start", key);
     }
@@ -249,13 +282,13 @@
         Budget budget = new Budget(PlatformDependent.maxDirectMemory() / 2);
         reserved = inUse() + RESERVED;
         descriptors = new Descriptors(start.sockets() - reserved);
-        Bootstrap outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (values.connectTimeout().micros() / 1_000));
+        outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers);
+        connectWithin(values.connectTimeout());
         Tally badNodes = new Tally(LoggerFactory.getLogger(NodeLink.class), Event.NODE_BAD, clock::now);
         Function<String, NodeLink> linkTo = node -> links.computeIfAbsent(node, name -> new NodeLink(name,
-            outwards, loop, clock, descriptors, budget, values.connectTimeout(), values.idleClose(),
-            badNodes));
+            outwards, loop, clock, descriptors, budget, inForce.values().connectTimeout(),
+            inForce.values().idleClose(), badNodes));
         carrier = new Carrier(turn, loop, linkTo, this::forget, values.gauges(0),
             values.connectTimeout(), budget);
         clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen(), budget,
