Settings are switched in a running router and back; one value of all that is agreed; tests of the move

SIGHUP takes over all settings or none (StartFile.fixedFor names what needs a restart); what was taken keeps its terms, of more executions than may be out the first goes on. The laboratory's settings-switch changes the shape every 0.3 to 1.5 s with primaries dying and hanging: nothing lost, doubled, stale or out twice, on sockets and in virtual time; a planted loss and a planted repeat are found.

--- a/lab/src/main/java/basaltlever/lab/Scenarios.java
+++ b/lab/src/main/java/basaltlever/lab/Scenarios.java
@@ -7,8 +7,8 @@
 /** The scenarios that come with the program. */
 @Parameters(commandDescription = "Names the scenarios that come with the program")
 final class Scenarios {
-    static final List<String> NAMES = List.of("primary-changes", "planned-switches", "quiet", "settings-switch",
-        "third-lost");
+    static final List<String> NAMES = List.of("primary-changes", "planned-switches", "quiet",
+        "settings-switch", "third-lost");
 
     void run() throws Scenario.Fault {
         for (String name : NAMES) {
--- a/lab/src/main/java/basaltlever/lab/sockets/RouterProcess.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/RouterProcess.java
@@ -69,7 +69,8 @@
 
     /** The operator's step: the file is replaced in one piece, then SIGHUP. */
     public void takes(String settings) throws IOException, InterruptedException {
-        Path next = Files.writeString(startFile.resolveSibling(startFile.getFileName() + ".new"), head + settings + "}");
+        Path next = Files.writeString(startFile.resolveSibling(startFile.getFileName() + ".new"),
+            head + settings + "}");
         Files.move(next, startFile, StandardCopyOption.ATOMIC_MOVE);
         new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
     }
--- a/lab/src/main/java/basaltlever/lab/world/Ledger.java
+++ b/lab/src/main/java/basaltlever/lab/world/Ledger.java
@@ -42,7 +42,8 @@
         this.series = series;
         for (String name : List.of("statements", "completed", "rejected", "aborted", "left", "unanswered",
             "lost",
-            "doubled", "rejected_ran", "aborts_unjustified", "stale", "late_to_draining", "cold_toppled", "copied",
+            "doubled", "rejected_ran", "aborts_unjustified", "stale", "late_to_draining",
+            "cold_toppled", "copied",
             "answered_late", "in_time")) {
             counts.put(name, 0);
         }
--- a/lab/src/test/java/basaltlever/lab/ScenarioTest.java
+++ b/lab/src/test/java/basaltlever/lab/ScenarioTest.java
@@ -60,6 +60,63 @@
         }
     }
 
+    /** Settings of another shape and back, again and again, with writes held and executions out. */
+    @Example
+    void aSwitchOfSettingsAndItsWayBackLoseAndRepeatNothing() throws Exception {
+        for (long seed = 1; seed <= 3; seed++) {
+            Scenario scenario = scenario("settings-switch", "mode=virtual", "seconds=15", "switch_ms=300");
+            Map<String, Object> figures = new VirtualRun(scenario, seed).play();
+            check(scenario.broken(figures).isEmpty(), "seed " + seed + ": " + scenario.broken(figures));
+            check(((Number) figures.get("switches")).intValue() > 40, "it shows nothing: " + figures);
+        }
+        Map<Bug, String> found = new LinkedHashMap<>();
+        found.put(Bug.SWITCH_FORGETS, "unanswered");
+        found.put(Bug.SWITCH_REPEATS, "doubled");
+        for (Map.Entry<Bug, String> each : found.entrySet()) {
+            Scenario scenario = scenario("settings-switch", "mode=virtual", "seconds=10", "switch_ms=300");
+            Map<String, Object> figures = new VirtualRun(scenario, 1, each.getKey()).play();
+            check(((Number) figures.get(each.getValue())).intValue() > 0, each.getKey() + " is not found: "
+                + figures);
+        }
+    }
+
+    /** By the operator's own step, on sockets; and what a reload must leave alone. */
+    @Example
+    void settingsAreSwitchedInARunningProcessAndFaultyOnesAreLeft() throws Exception {
+        Scenario scenario = scenario("settings-switch", "seconds=7", "routers=2", "switch_ms=1000",
+            "faults_to_ms=3000");
+        try (SocketRun run = new SocketRun(scenario, 5, null, "")) {
+            Map<String, Object> figures = run.play();
+            List<String> broken = scenario.broken(figures).stream()
+                .filter(line -> !line.startsWith("longest_write") && !line.startsWith("answered_late"))
+                .toList();
+            check(broken.isEmpty(), broken + " " + run.world().ledger.told());
+            var router = run.routers().get(0);
+            int switches = ((Number) figures.get("switches")).intValue();
+            check(switches >= 4 && ((Number) figures.get("statements")).intValue() > 1_000, "" + figures);
+            awaitLog(router, "settings_taken", switches);
+            String known = scenario.settings(switches % 2 == 1);
+            router.takes(known.replace("\"Checks\":\"refuse\"", "\"Checks\":\"maybe\"")
+                .replace("\"AnswerSlack\":20000", "\"AnswerSlack\":-1"));
+            awaitLog(router, "reload_refused", 1);
+            check(router.log().contains("FamilyInfo.Checks can't be read: maybe"), router.log());
+            router.takes(known.replace("\"Zones\":[\"a\"]", "\"Zones\":[\"a\",\"b\"]")
+                .replace("\"MayDuplicate\":true", "\"MayDuplicate\":false"));
+            awaitLog(router, "settings_left keys=settings.Zones", 1);
+            awaitLog(router, "settings_taken", switches);
+        }
+    }
+
+    private static void awaitLog(basaltlever.lab.sockets.RouterProcess router, String event, int times)
+        throws Exception {
+        int found = -1;
+        for (int i = 0; i < 100 && found != times; i++) {
+            Thread.sleep(i == 0 ? 300 : 50);
+            found = router.log().split("event=" + event, -1).length - 1;
+        }
+        check(found == times, event + " stands " + found + " times, not " + times + ": " + router.log());
+    }
+
     @Example
     void virtualRunsHoldAndAreTheSameFromOneSeed() throws Exception {
         for (long seed = 1; seed <= 4; seed++) {
--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -76,13 +76,7 @@
 
     private final Outbound outbound;
     private final SplittableRandom chance;
-    private Standing standing;
-    private Workload[] workloads;
-    private Replication replication;
-    private Drains drains;
-    private WarmUp warmUp;
-    Allowance allowance;
-    private Connections connections;
+    Agreed agreed;
     private double topImportance;
     private Span cadence;
 
@@ -122,41 +116,30 @@
     /** What was learned, told and taken in. */
     public final Recall recall = new Recall(this);
 
-    public Balance(Outbound outbound, SplittableRandom chance, Standing standing, Workload[] workloads,
-                   Replication replication, Drains drains, WarmUp warmUp, Allowance allowance,
-                   Connections connections, HoldBudget holds, Moment now) {
+    public Balance(Outbound outbound, SplittableRandom chance, Agreed agreed, HoldBudget holds, Moment now) {
         this.outbound = outbound;
         this.chance = chance;
         this.holds = holds;
-        agree(now, standing, workloads, replication, drains, warmUp, allowance, connections);
-        watchDue = drains.askedFor() ? now : Moment.NEVER;
-        typical = Arrays.stream(workloads).mapToDouble(workload -> workload.slo().micros() / 4.0).toArray();
+        agree(now, agreed);
+        watchDue = agreed.drains().askedFor() ? now : Moment.NEVER;
+        typical = Arrays.stream(agreed.workloads()).mapToDouble(kind -> kind.slo().micros() / 4.0).toArray();
         typicalOfAll = Arrays.stream(typical).average().orElse(0);
     }
 
     /**
-     * From now on these hold, in place of those before; workloads stay as many, in their order. What was taken
+     * From now on these hold instead of those before; workloads stay as many, in their order. What was taken
      * keeps the terms under which it was taken, and of more executions than may be out the first goes on.
      */
-    public void agree(Moment at, Standing where, Workload[] kinds, Replication following, Drains leaving,
-                      WarmUp warming, Allowance allowed, Connections carried) {
+    public void agree(Moment at, Agreed by) {
         now = at;
-        standing = where;
-        workloads = kinds;
-        replication = following;
-        drains = leaving;
-        warmUp = warming;
-        allowance = allowed;
-        connections = carried;
-        topImportance = Arrays.stream(workloads).mapToDouble(Workload::importance).max().orElse(1);
-        Span tightest = SECOND.times(4);
-        for (Workload terms : workloads) {
-            tightest = terms.needs() == Needs.BOUNDED ? tightest.shorter(terms.bound()) : tightest;
-        }
-        cadence = tightest.times(replication.replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
+        agreed = by;
+        topImportance = Arrays.stream(agreed.workloads()).mapToDouble(Workload::importance).max().orElse(1);
+        Span tightest = Arrays.stream(agreed.workloads()).filter(kind -> kind.needs() == Needs.BOUNDED)
+            .map(Workload::bound).reduce(SECOND.times(4), Span::shorter);
+        cadence = tightest.times(agreed.replication().replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
             .shorter(SECOND);
         for (Statement statement : open) {
-            if (statement.out > 1 && !allowance.secondCopies()) {
+            if (statement.out > 1 && !agreed.allowance().secondCopies()) {
                 callOff(statement, statement.firstOut() + 1);
             }
         }
@@ -173,7 +156,8 @@
     public void listed(Moment at, int id, Listing state, int group, int zone, double size, Moment startedAt) {
         now = at;
         // All routers together start out on a node: what one may have out there is split by their number.
-        Node node = nodes.computeIfAbsent(id, n -> new Node(n, Math.max(1, FIRST_ROOM / standing.routers())));
+        double room = Math.max(1, FIRST_ROOM / agreed.standing().routers());
+        Node node = nodes.computeIfAbsent(id, n -> new Node(n, room));
         Group home = group(group);
         if (node.group != home) {
             if (node.group != null) {
@@ -218,9 +202,9 @@
     /** The notice does not tell whether the watch still stands, so it is asked for anew in any case. */
     public void listFailed(Moment at) {
         now = at;
-        if (drains.askedFor()) {
+        if (agreed.drains().askedFor()) {
             watchDue = now.plus(watchBackoff.times(0.5 + chance.nextDouble()));
-            watchBackoff = watchBackoff.times(2).shorter(drains.mustAskIn().times(0.25));
+            watchBackoff = watchBackoff.times(2).shorter(agreed.drains().mustAskIn().times(0.25));
         }
         settle();
     }
@@ -229,14 +213,15 @@
     public void taken(Moment at, int id, int workload, int group, long session, Moment clientLeaves,
                       Moment committed, int bytes) {
         now = at;
-        Workload terms = workloads[workload];
+        Workload terms = agreed.workloads()[workload];
         Moment mustSee = switch (terms.needs()) {
             case FRESH -> now;
-            case SESSION -> replication.sessionsCarryTokens() ? committed : sessions.lastWrite(session);
+            case SESSION -> agreed.replication().sessionsCarryTokens() ? committed
+                : sessions.lastWrite(session);
             default -> Moment.LONG_AGO;
         };
         Statement statement = new Statement(id, workload, terms, group(group), session, now,
-            clientLeaves, mustSee, allowance.executions(), chance.nextDouble(), bytes);
+            clientLeaves, mustSee, agreed.allowance().executions(), chance.nextDouble(), bytes);
         statements = id < statements.length ? statements : Arrays.copyOf(statements, 2 * id);
         statements[id] = statement;
         open.add(statement);
@@ -287,7 +272,7 @@
         statement.misses += ending == Ending.MISS ? 1 : 0;
         judgeError(statement, execution, ending);
         if (!statement.terms.onlyPrimary() && (ending == Ending.MISS || ending == Ending.COMPLETED)) {
-            Span allowed = allowed(statement, sent);
+            Span allowed = statement.allowedLag(sent);
             sight(node, ending == Ending.MISS ? allowed.times(2).longer(lag(node))
                 : allowed.shorter(lag(node)));
         }
@@ -314,13 +299,10 @@
         pollDue = pollDue.earlier(node.pollDue);
         if (ending == Ending.COMPLETED) {
             up(node);
-            if (util >= 0 && util <= 2) {
-                node.util = Math.min(1, util);
-                node.tellsCores = true;
-            } else if (queue >= 0) {
-                // Whoever has statements waiting has no core to spare; how many it has is not told.
-                node.util = queue >= 0.5 ? 1 : UNTOLD_UTIL;
-            }
+            // Whoever has statements waiting has no core to spare; how many cores it has is not told.
+            node.tellsCores |= util >= 0;
+            node.util = util >= 0 && util <= 2 ? Math.min(1, util)
+                : queue >= 0 ? queue < 0.5 ? UNTOLD_UTIL : 1 : node.util;
             Span reportAge = node.group.reportAge;
             boolean sane = position.isAfter(Moment.LONG_AGO) && !position.isAfter(now);
             if (sane) {
@@ -378,7 +360,7 @@
 
     private void askForList() {
         outbound.watch();
-        watchDue = now.plus(drains.mustAskIn().times(0.5));
+        watchDue = now.plus(agreed.drains().mustAskIn().times(0.5));
     }
 
     void relist(Node node, Listing state) {
@@ -393,7 +375,7 @@
     /** Nothing new goes to it from the moment the list says so; the grace is for what is on its way. */
     boolean listedForUse(Node node) {
         return node.listing == Listing.READY
-            || node.listing == Listing.GONE && !drains.removalBinds() && !node.drainSeen;
+            || node.listing == Listing.GONE && !agreed.drains().removalBinds() && !node.drainSeen;
     }
 
     // Kept for all time, each choice would go through all there ever were; till then it may be listed again.
@@ -404,7 +386,7 @@
 
     private Group group(int number) {
         return groups.computeIfAbsent(number, n -> new Group(n, now, FIRST_REPORT_AGE, BY_IMPORTANCE,
-            holds.group(workloads.length), outbound));
+            holds.group(agreed.workloads().length), outbound));
     }
 
     // ---- The phases of a group: who is primary, and the hold.
@@ -589,7 +571,7 @@
         if (now.since(primary.pollSent).isLongerThan(TRIAL)) {
             pollNow(primary);
         }
-        boolean told = !primary.pollOut && now.isBefore(primary.pollDue) || !allowance.polls();
+        boolean told = !primary.pollOut && now.isBefore(primary.pollDue) || !agreed.allowance().polls();
         boolean spare = told && statement.luck < EAGER * (FULLY_BUSY - primary.util);
         return spare && hasRoom(primary, 1 - FOR_WRITES) && !outranked ? primary : null;
     }
@@ -599,8 +581,8 @@
     // path may be bad for this router alone while the node serves the others and answers polls.
     private Node readerFor(Statement statement) {
         Group group = statement.group;
-        Span allowed = allowed(statement, now);
-        boolean checks = replication.replicasCheck() && statement.misses < 2;
+        Span allowed = statement.allowedLag(now);
+        boolean checks = agreed.replication().replicasCheck() && statement.misses < 2;
         Node first = null;
         Node second = null;
         Node advanced = null;
@@ -635,7 +617,8 @@
             first = slot == 0 ? member : first;
             second = seen == 1 ? null : slot == 1 ? member : second;
         }
-        if (first != null && avoids(first) && out > 0 && !hasWaited(statement, 0.8 * PATIENCE)) {
+        if (first != null && avoids(first) && out > 0
+            && now.since(statement.takenAt).isShorterThan(statement.terms.slo().times(0.8 * PATIENCE))) {
             // One of its connections will be free before a new one would stand.
             return null;
         }
@@ -653,22 +636,17 @@
 
     /** What any member may answer, yet takes far longer than most: its node applies no log meanwhile. */
     private boolean isLong(int workload) {
-        return workloads[workload].needs() == Needs.ANY && typical[workload] > LONG * typicalOfAll;
+        return agreed.workloads()[workload].needs() == Needs.ANY && typical[workload] > LONG * typicalOfAll;
     }
 
     // Spread out, long statements would keep every replica of a group from applying the log. All routers know
     // the same order of its members, so they agree without a word on who bears them: the first that is not
     // crowded, out of the first half.
     private Node burdened(Statement statement) {
-        List<Node> able = new ArrayList<>();
-        boolean any = IntStream.range(0, workloads.length).anyMatch(this::isLong);
-        for (int i = 0; any && i < statement.group.members.size(); i++) {
-            Node member = statement.group.members.get(i);
-            if (member != statement.group.primary && isUsable(member, statement) && failing(member) < FAILING) {
-                able.add(member);
-            }
-        }
-        able.sort(BY_RANK);
+        Node primary = statement.group.primary;
+        boolean any = IntStream.range(0, typical.length).anyMatch(this::isLong);
+        List<Node> able = any ? statement.group.members.stream().filter(member -> member != primary
+            && isUsable(member, statement) && failing(member) < FAILING).sorted(BY_RANK).toList() : List.of();
         Node bears = null;
         for (Node member : able.subList(0, Math.max(Math.min(1, able.size()), able.size() / 2))) {
             if (!statement.wasSentTo(member) && (bears == null || strain(bears) > usualStrain + CROWDED
@@ -679,16 +657,6 @@
         return bears;
     }
 
-    private boolean hasWaited(Statement statement, double share) {
-        return !now.isBefore(statement.takenAt.plus(statement.terms.slo().times(share)));
-    }
-
-    /** How far behind a replica may be that is sent the statement at that moment. */
-    private static Span allowed(Statement statement, Moment at) {
-        return statement.terms.needs() == Needs.BOUNDED ? statement.terms.bound()
-            : at.since(statement.mustSee);
-    }
-
     // How far behind a replica was when last seen, fading: no proof, but it tells which to ask where its own
     // check keeps a stale answer back. Less the age of reports, or late ones make all look equally behind.
     Span lag(Node node) {
@@ -703,14 +671,14 @@
         boolean onTrial = node.out == 0
             && !now.since(node.silentSince.later(node.triedAt)).isShorterThan(TRIAL.times(1 << node.trials));
         // A list may name what does not exist: nothing goes to a node that has never said a word.
-        return listedForUse(node) && !node.down && (node.heard || !allowance.polls())
+        return listedForUse(node) && !node.down && (node.heard || !agreed.allowance().polls())
             && !now.isBefore(node.restsUntil) && (!node.silent || onTrial)
             && (warmth(node) >= 1 || coldAllows(node, typical[statement.workload]));
     }
 
     private boolean isConnected(Node node) {
-        return now.since(node.usedAt).isShorterThan(connections.idleClose())
-            && (connections.streams() > 1 ? node.out < connections.streams() : node.idle > 0);
+        return now.since(node.usedAt).isShorterThan(agreed.connections().idleClose())
+            && agreed.connections().hasRoom(node.out, node.idle);
     }
 
     /** Where new connections cost much time, or fail, one that is open is worth more than a choice. */
@@ -719,7 +687,7 @@
     }
 
     private double busyness(Node node) {
-        double crossing = node.zone != standing.zone() && standing.crossingPrice() > 0 ? 1.3 : 1;
+        double crossing = agreed.standing().isPricedTo(node.zone) ? 1.3 : 1;
         return (node.out + 1) * strain(node) * (1 + 2 * node.util * node.util) * (1 + 10 * failing(node))
             * crossing / node.size;
     }
@@ -731,16 +699,17 @@
             // Even where late is worth a little, a queue of what is late would make all others late.
             timeout = statement.takenAt.plus(terms.slo().times(1 + 2 * terms.lateShare())).since(now);
         }
-        // Where only one may be out, what a node loses is found out early enough to try another: reads where it
-        // is known to lose some, writes that may run again after twice as long.
+        // Where only one may be out, what a node loses is found out early enough to try another: reads where
+        // it is known to lose some, writes that may run again after twice as long.
         double usual = typical[statement.workload];
         boolean write = terms.repeat() == Repeat.DEDUPLICATED;
         Span early = new Span((long) (usual * (write ? 2 * UNUSUAL : UNUSUAL)));
-        if (!allowance.secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
+        if (!agreed.allowance().secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
             && (write || node.silent || failing(node) >= FAILING)
             && now.plus(early).plus(new Span((long) (LEAST_CHANCE * usual)))
                 .isBefore(statement.takenAt.plus(terms.slo()))
-            && (!write || now.plus(early).isBefore(statement.mayHaveRunSince().earlier(now).plus(terms.window())))) {
+            && (!write
+                || statement.mayHaveRunSince().earlier(now).plus(terms.window()).isAfter(now.plus(early)))) {
             timeout = early;
         }
         boolean opens = !isConnected(node);
@@ -759,7 +728,7 @@
             node.coldAt = now;
         }
         // A connection may have to be opened first, and later than this the proof no longer covers the bound.
-        boolean proven = terms.needs() == Needs.BOUNDED && !replication.replicasCheck()
+        boolean proven = terms.needs() == Needs.BOUNDED && !agreed.replication().replicasCheck()
             && node != statement.group.primary;
         outbound.execute(statement.id, node.id, timeout,
             proven ? node.position.plus(terms.bound()) : Moment.NEVER);
@@ -775,17 +744,17 @@
             return false;
         }
         return switch (statement.terms.repeat()) {
-            case IDEMPOTENT -> stillOut == 0 || allowance.secondCopies();
+            case IDEMPOTENT -> stillOut == 0 || agreed.allowance().secondCopies();
             case NON_IDEMPOTENT -> !statement.mayHaveRun && statement.out == 0;
             case DEDUPLICATED -> statement.terms.within() != Workload.Within.ZONE
-                ? (stillOut == 0 || allowance.secondCopies())
+                ? (stillOut == 0 || agreed.allowance().secondCopies())
                     && now.isBefore(statement.mayHaveRunSince().plus(statement.terms.window()))
                 : !statement.mayHaveRun && statement.out == 0;
         };
     }
 
     private boolean isOverdue(Statement statement) {
-        Moment end = statement.clientLeaves.minus(allowance.answerSlack());
+        Moment end = statement.clientLeaves.minus(agreed.allowance().answerSlack());
         if (statement.terms.lateShare() <= 0) {
             end = end.earlier(statement.takenAt.plus(statement.terms.slo()));
         }
@@ -799,7 +768,7 @@
             if (statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
                 // Any longer for room would leave too little of the SLO time for the work itself. What a node
                 // kept for a while, to turn away or lose it, is past that already, yet has a turn elsewhere.
-                double share = statement.misses > 0 || statement.mayHaveRun ? 0.5 : PATIENCE;
+                double share = statement.misses > 0 || statement.mayHaveRun ? 0.75 : PATIENCE;
                 Moment since = statement.terms.onlyPrimary()
                     ? statement.takenAt.later(statement.group.foundAt) : statement.takenAt;
                 end = end.earlier(since.plus(statement.terms.slo().times(share).longer(LEAST_PATIENCE)));
@@ -823,7 +792,7 @@
         if (harmless) {
             // In a hold it may come back at once: only what is held is released in order to a new primary.
             double share = mayReturnAtOnce ? 0 : 0.75 + 0.25 * chance.nextDouble();
-            outbound.reject(statement.id, allowance.longestComeBack().times(share));
+            outbound.reject(statement.id, agreed.allowance().longestComeBack().times(share));
         } else {
             outbound.abort(statement.id);
         }
@@ -838,8 +807,8 @@
     }
 
     private void callOff(Statement statement, int from) {
-        for (int i = from; allowance.cancels() && statement.out > 0 && i < statement.executions; i++) {
-            if (statement.isOut[i]) {
+        for (int i = from; statement.out > 0 && i < statement.executions; i++) {
+            if (statement.isOut[i] && agreed.allowance().cancels()) {
                 outbound.cancel(statement.id, i);
             }
         }
@@ -847,6 +816,7 @@
 
     /** Only what is open is looked at: a large fleet gone over this often would cost more than traffic. */
     private void scan() {
+        boolean copies = agreed.allowance().secondCopies();
         for (int i = open.size() - 1; i >= 0; i--) {
             Statement statement = open.get(i);
             boolean stuck = statement.out > 0;
@@ -856,7 +826,7 @@
                     noteSilence(node, statement, statement.sentAt[k]);
                     // A trial has its own time: called off with the rest, none would ever end a silence.
                     stuck &= node.down || node.silent
-                        && (allowance.secondCopies() || !statement.sentAt[k].isAfter(node.silentSince));
+                        && (copies || !statement.sentAt[k].isAfter(node.silentSince));
                 }
             }
             if (statement.finished) {
@@ -873,9 +843,9 @@
                     takeOut(statement);
                     unplaced.add(statement);
                 }
-            } else if (stuck && mayRunAgain(statement, allowance.secondCopies() ? statement.out : 0)) {
+            } else if (stuck && mayRunAgain(statement, copies ? statement.out : 0)) {
                 // Waiting on nodes that answer nobody: another execution elsewhere may still be in time.
-                if (allowance.secondCopies()) {
+                if (copies) {
                     unplaced.add(statement);
                 } else {
                     callOff(statement, 0);
@@ -1044,7 +1014,7 @@
             node.position = node.position.later(wrote ? position.minus(Span.ofMillis(1)) : position);
             sight(node, now.since(position));
         }
-        if (wrote && !replication.sessionsCarryTokens()) {
+        if (wrote && !agreed.replication().sessionsCarryTokens()) {
             sessions.wrote(statement.session, position.isAfter(Moment.LONG_AGO) ? position : now);
         }
     }
@@ -1099,9 +1069,7 @@
     // ---- Cold nodes.
 
     double warmth(Node node) {
-        Span age = now.since(node.startedAt);
-        return age.isShorterThan(warmUp.warmAfter())
-            ? warmUp.coldFrom() + (1 - warmUp.coldFrom()) * Math.max(0, age.over(warmUp.warmAfter())) : 1;
+        return agreed.warmUp().at(now.since(node.startedAt));
     }
 
     double coldLevel(Node node) {
@@ -1114,8 +1082,8 @@
     double coldRate(Node node) {
         double perSize = warmRate(node.group.members);
         double borne = (perSize > 0 ? perSize : warmRate(nodes.values())) * node.size;
-        return Math.max(COLD_SAFETY * warmUp.topplesAt() * warmth(node) * borne,
-            typicalOfAll / warmUp.topplesIn().over(SECOND) / standing.routers());
+        return Math.max(COLD_SAFETY * agreed.warmUp().topplesAt() * warmth(node) * borne,
+            typicalOfAll / agreed.warmUp().topplesIn().over(SECOND) / agreed.standing().routers());
     }
 
     private double warmRate(Collection<Node> among) {
@@ -1131,7 +1099,7 @@
     }
 
     private boolean coldAllows(Node node, double work) {
-        double burst = coldRate(node) * COLD_BURST * warmUp.topplesIn().over(SECOND);
+        double burst = coldRate(node) * COLD_BURST * agreed.warmUp().topplesIn().over(SECOND);
         return coldLevel(node) <= 0 || coldLevel(node) + work <= burst;
     }
 
@@ -1149,7 +1117,7 @@
     private void pollDue() {
         pollDue = Moment.NEVER;
         for (Node node : nodes.values()) {
-            if (node.listing == Listing.GONE && !listedForUse(node) || !allowance.polls()) {
+            if (node.listing == Listing.GONE && !listedForUse(node) || !agreed.allowance().polls()) {
                 continue;
             }
             if (node.pollOut && now.since(node.pollSent).isLongerThan(SECOND)) {
@@ -1175,11 +1143,11 @@
     // Often enough to show replicas inside the tightest bound, as far as the polls bear a price that goes
     // with what this router itself has to send: then all routers together stay below it, however many.
     private Span pollPeriod(Node node) {
-        if (standing.pollPrice() <= 0) {
+        if (agreed.standing().pollPrice() <= 0) {
             return cadence;
         }
         double rate = node.group.rate.at(now, REMEMBERED) / Math.max(1, node.group.members.size());
-        double perSecond = POLL_POINTS / standing.pollPrice() * rate;
+        double perSecond = POLL_POINTS / agreed.standing().pollPrice() * rate;
         return Span.ofMillis(1_000 / Math.max(1e-3, perSecond)).longer(cadence).shorter(RAREST_POLL);
     }
 
--- a/router/src/main/java/basaltlever/Recall.java
+++ b/router/src/main/java/basaltlever/Recall.java
@@ -81,7 +81,7 @@
             node.drainSeen = true;
             balance.relist(node, Listing.DRAINING);
         }
-        if (view.primary() && balance.allowance.polls() && !node.pollOut) {
+        if (view.primary() && balance.agreed.allowance().polls() && !node.pollOut) {
             // Asked before all others, in whatever order the list names them.
             balance.poll(node);
         }
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -2,6 +2,7 @@
 
 import basaltlever.Balance;
 import basaltlever.core.Gauges;
+import basaltlever.gateway.Agreed;
 import basaltlever.gateway.Allowance;
 import basaltlever.gateway.Connections;
 import basaltlever.gateway.Drains;
@@ -128,14 +129,16 @@
     }
 
     public Function<Outbound, Balance> balance(long seed, Moment now, HoldBudget holds) {
-        return outbound -> new Balance(outbound, new SplittableRandom(seed), standing, workloads,
-            replication, drains, warmUp, allowance, connections, holds, now);
+        return outbound -> new Balance(outbound, new SplittableRandom(seed), agreed(), holds, now);
     }
 
     /** The same for decisions that are under way. */
     public Consumer<Balance> agreement(Moment now) {
-        return balance -> balance.agree(now, standing, workloads, replication, drains, warmUp, allowance,
-            connections);
+        return balance -> balance.agree(now, agreed());
+    }
+
+    private Agreed agreed() {
+        return new Agreed(standing, workloads, replication, drains, warmUp, allowance, connections);
     }
 
     public Gauges gauges(long origin) {
--- a/router/src/main/java/basaltlever/model/Statement.java
+++ b/router/src/main/java/basaltlever/model/Statement.java
@@ -2,6 +2,7 @@
 
 import basaltlever.gateway.Workload;
 import basaltlever.time.Moment;
+import basaltlever.time.Span;
 
 /** One statement taken from a client. */
 public final class Statement {
@@ -77,6 +78,11 @@
         return false;
     }
 
+    /** How far behind a replica may be that is sent it at that moment. */
+    public Span allowedLag(Moment at) {
+        return terms.needs() == Workload.Needs.BOUNDED ? terms.bound() : at.since(mustSee);
+    }
+
     public int firstOut() {
         int first = 0;
         while (!isOut[first]) {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -161,8 +161,8 @@
     }
 
     /**
-     * All of the settings or none. What was taken goes on: the decisions keep its terms, its executions and who
-     * owes what, and see to it that the new rules hold for all that is sent from here on.
+     * All of the settings or none. What was taken goes on: the decisions keep its terms, its executions and
+     * who owes what, and see to it that the new rules hold for all that is sent from here on.
      */
     private void agree(StartFile next) {
         if (next.hasSettingsOf(inForce)) {
