--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -55,7 +55,6 @@
     private static final double LEAST_CHANCE = 1.5;
     private static final double FOR_WRITES = 0.3;
     private static final double PATIENCE = 0.125;
-    private static final double ASKING = 0.06;
     private static final double FAILING = 0.3;
     private static final double DEAR = 0.3;
     private static final double HELD = 0.48;
@@ -64,7 +63,6 @@
     private static final double UNUSUAL = 2.5;
     private static final int MOST_TRIALS = 2;
     private static final double UNTOLD_UTIL = 0.5;
-    private static final double FULLY_STRAINED = 0.65;
     private static final int MOST_PREPARED = 16;
 
     private static final Comparator<Statement> BY_IMPORTANCE =
@@ -78,15 +76,9 @@
 
     private final Outbound outbound;
     private final SplittableRandom chance;
-    private final Standing standing;
-    private final Workload[] workloads;
-    private final Replication replication;
-    private final Drains drains;
-    private final WarmUp warmUp;
-    final Allowance allowance;
-    private final Connections connections;
-    private final double topImportance;
-    private final Span cadence;
+    Agreed agreed;
+    private double topImportance;
+    private Span cadence;
 
     final Map<Integer, Node> nodes = new TreeMap<>();
     final Map<Integer, Group> groups = new HashMap<>();
@@ -96,7 +88,6 @@
     private final ArrayDeque<Group> changed = new ArrayDeque<>();
     private final double[] typical;
     double typicalOfAll;
-    private final double meanSlo;
     private double usualStrain = 0.25;
     private double opening;
     private final Fading scarce = new Fading();
@@ -125,31 +116,35 @@
     /** What was learned, told and taken in. */
     public final Recall recall = new Recall(this);
 
-    public Balance(Outbound outbound, SplittableRandom chance, Standing standing, Workload[] workloads,
-                   Replication replication, Drains drains, WarmUp warmUp, Allowance allowance,
-                   Connections connections, HoldBudget holds, Moment now) {
+    public Balance(Outbound outbound, SplittableRandom chance, Agreed agreed, HoldBudget holds, Moment now) {
         this.outbound = outbound;
         this.chance = chance;
-        this.standing = standing;
-        this.workloads = workloads;
-        this.replication = replication;
-        this.drains = drains;
-        this.warmUp = warmUp;
-        this.allowance = allowance;
-        this.connections = connections;
         this.holds = holds;
-        this.now = now;
-        watchDue = drains.askedFor() ? now : Moment.NEVER;
-        typical = Arrays.stream(workloads).mapToDouble(workload -> workload.slo().micros() / 4.0).toArray();
+        agree(now, agreed);
+        watchDue = agreed.drains().askedFor() ? now : Moment.NEVER;
+        typical = Arrays.stream(agreed.workloads()).mapToDouble(kind -> kind.slo().micros() / 4.0).toArray();
         typicalOfAll = Arrays.stream(typical).average().orElse(0);
-        meanSlo = 4 * typicalOfAll;
-        topImportance = Arrays.stream(workloads).mapToDouble(Workload::importance).max().orElse(1);
-        Span tightest = SECOND.times(4);
-        for (Workload terms : workloads) {
-            tightest = terms.needs() == Needs.BOUNDED ? tightest.shorter(terms.bound()) : tightest;
-        }
-        cadence = tightest.times(replication.replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
+    }
+
+    /**
+     * From now on these hold instead of those before; workloads stay as many, in their order. What was taken
+     * keeps the terms under which it was taken, and of more executions than may be out the first goes on.
+     */
+    public void agree(Moment at, Agreed by) {
+        now = at;
+        agreed = by;
+        topImportance = Arrays.stream(agreed.workloads()).mapToDouble(Workload::importance).max().orElse(1);
+        Span tightest = Arrays.stream(agreed.workloads()).filter(kind -> kind.needs() == Needs.BOUNDED)
+            .map(Workload::bound).reduce(SECOND.times(4), Span::shorter);
+        cadence = tightest.times(agreed.replication().replicasCheck() ? 0.5 : 0.25).longer(FASTEST_POLL)
             .shorter(SECOND);
+        for (Statement statement : open) {
+            if (statement.out > 1 && !agreed.allowance().secondCopies()) {
+                callOff(statement, statement.firstOut() + 1);
+            }
+        }
+        // A member may be bound, or free, by the new rules; each is asked at once.
+        nodes.values().forEach(node -> relist(node, node.listing));
     }
 
     // ---- What the router hears.
@@ -161,7 +156,8 @@
     public void listed(Moment at, int id, Listing state, int group, int zone, double size, Moment startedAt) {
         now = at;
         // All routers together start out on a node: what one may have out there is split by their number.
-        Node node = nodes.computeIfAbsent(id, n -> new Node(n, Math.max(1, FIRST_ROOM / standing.routers())));
+        double room = Math.max(1, FIRST_ROOM / agreed.standing().routers());
+        Node node = nodes.computeIfAbsent(id, n -> new Node(n, room));
         Group home = group(group);
         if (node.group != home) {
             if (node.group != null) {
@@ -206,9 +202,9 @@
     /** The notice does not tell whether the watch still stands, so it is asked for anew in any case. */
     public void listFailed(Moment at) {
         now = at;
-        if (drains.askedFor()) {
+        if (agreed.drains().askedFor()) {
             watchDue = now.plus(watchBackoff.times(0.5 + chance.nextDouble()));
-            watchBackoff = watchBackoff.times(2).shorter(drains.mustAskIn().times(0.25));
+            watchBackoff = watchBackoff.times(2).shorter(agreed.drains().mustAskIn().times(0.25));
         }
         settle();
     }
@@ -217,14 +213,15 @@
     public void taken(Moment at, int id, int workload, int group, long session, Moment clientLeaves,
                       Moment committed, int bytes) {
         now = at;
-        Workload terms = workloads[workload];
+        Workload terms = agreed.workloads()[workload];
         Moment mustSee = switch (terms.needs()) {
             case FRESH -> now;
-            case SESSION -> replication.sessionsCarryTokens() ? committed : sessions.lastWrite(session);
+            case SESSION -> agreed.replication().sessionsCarryTokens() ? committed
+                : sessions.lastWrite(session);
             default -> Moment.LONG_AGO;
         };
         Statement statement = new Statement(id, workload, terms, group(group), session, now,
-            clientLeaves, mustSee, allowance.executions(), chance.nextDouble(), bytes);
+            clientLeaves, mustSee, agreed.allowance().executions(), chance.nextDouble(), bytes);
         statements = id < statements.length ? statements : Arrays.copyOf(statements, 2 * id);
         statements[id] = statement;
         open.add(statement);
@@ -275,7 +272,7 @@
         statement.misses += ending == Ending.MISS ? 1 : 0;
         judgeError(statement, execution, ending);
         if (!statement.terms.onlyPrimary() && (ending == Ending.MISS || ending == Ending.COMPLETED)) {
-            Span allowed = allowed(statement, sent);
+            Span allowed = statement.allowedLag(sent);
             sight(node, ending == Ending.MISS ? allowed.times(2).longer(lag(node))
                 : allowed.shorter(lag(node)));
         }
@@ -302,13 +299,10 @@
         pollDue = pollDue.earlier(node.pollDue);
         if (ending == Ending.COMPLETED) {
             up(node);
-            if (util >= 0 && util <= 2) {
-                node.util = Math.min(1, util);
-            } else if (queue >= 0) {
-                // Whoever has statements waiting has no core to spare; how many it has is not told.
-                node.util = queue >= 0.5 ? 1 : UNTOLD_UTIL;
-            }
-            node.tellsLoad |= util >= 0 || queue >= 0;
+            // Whoever has statements waiting has no core to spare; how many cores it has is not told.
+            node.tellsCores |= util >= 0;
+            node.util = util >= 0 && util <= 2 ? Math.min(1, util)
+                : queue >= 0 ? queue < 0.5 ? UNTOLD_UTIL : 1 : node.util;
             Span reportAge = node.group.reportAge;
             boolean sane = position.isAfter(Moment.LONG_AGO) && !position.isAfter(now);
             if (sane) {
@@ -366,7 +360,7 @@
 
     private void askForList() {
         outbound.watch();
-        watchDue = now.plus(drains.mustAskIn().times(0.5));
+        watchDue = now.plus(agreed.drains().mustAskIn().times(0.5));
     }
 
     void relist(Node node, Listing state) {
@@ -381,7 +375,7 @@
     /** Nothing new goes to it from the moment the list says so; the grace is for what is on its way. */
     boolean listedForUse(Node node) {
         return node.listing == Listing.READY
-            || node.listing == Listing.GONE && !drains.removalBinds() && !node.drainSeen;
+            || node.listing == Listing.GONE && !agreed.drains().removalBinds() && !node.drainSeen;
     }
 
     // Kept for all time, each choice would go through all there ever were; till then it may be listed again.
@@ -392,7 +386,7 @@
 
     private Group group(int number) {
         return groups.computeIfAbsent(number, n -> new Group(n, now, FIRST_REPORT_AGE, BY_IMPORTANCE,
-            holds.group(workloads.length), outbound));
+            holds.group(agreed.workloads().length), outbound));
     }
 
     // ---- The phases of a group: who is primary, and the hold.
@@ -524,7 +518,7 @@
             return;
         }
         Group group = statement.group;
-        if (isOverdue(statement) || !mayRunAgain(statement) || statement.errors > 1
+        if (isOverdue(statement) || !mayRunAgain(statement, statement.out) || statement.errors > 1
             || isShed(statement, statement.terms.onlyPrimary() ? group.primaryJam : group.jam)) {
             if (statement.out == 0) {
                 giveUp(statement, group.phase == Phase.HOLD && statement.terms.onlyPrimary()
@@ -577,7 +571,7 @@
         if (now.since(primary.pollSent).isLongerThan(TRIAL)) {
             pollNow(primary);
         }
-        boolean told = !primary.pollOut && now.isBefore(primary.pollDue) || !allowance.polls();
+        boolean told = !primary.pollOut && now.isBefore(primary.pollDue) || !agreed.allowance().polls();
         boolean spare = told && statement.luck < EAGER * (FULLY_BUSY - primary.util);
         return spare && hasRoom(primary, 1 - FOR_WRITES) && !outranked ? primary : null;
     }
@@ -587,8 +581,8 @@
     // path may be bad for this router alone while the node serves the others and answers polls.
     private Node readerFor(Statement statement) {
         Group group = statement.group;
-        Span allowed = allowed(statement, now);
-        boolean checks = replication.replicasCheck() && statement.misses < 2;
+        Span allowed = statement.allowedLag(now);
+        boolean checks = agreed.replication().replicasCheck() && statement.misses < 2;
         Node first = null;
         Node second = null;
         Node advanced = null;
@@ -623,7 +617,8 @@
             first = slot == 0 ? member : first;
             second = seen == 1 ? null : slot == 1 ? member : second;
         }
-        if (first != null && avoids(first) && out > 0 && !hasWaited(statement, 0.8 * PATIENCE)) {
+        if (first != null && avoids(first) && out > 0
+            && now.since(statement.takenAt).isShorterThan(statement.terms.slo().times(0.8 * PATIENCE))) {
             // One of its connections will be free before a new one would stand.
             return null;
         }
@@ -636,55 +631,32 @@
         if (!fits && checks && advanced != null && !lag(advanced).isLongerThan(allowed.times(2))) {
             return hasRoom(advanced, 1) ? advanced : null;
         }
-        if (!fits && !replication.replicasCheck() && !allowed.isShorterThan(group.reportAge)
-            && asksFirst(statement)) {
-            return null;
-        }
         return primaryFor(statement);
     }
 
     /** What any member may answer, yet takes far longer than most: its node applies no log meanwhile. */
     private boolean isLong(int workload) {
-        return workloads[workload].needs() == Needs.ANY && typical[workload] > LONG * typicalOfAll;
+        return agreed.workloads()[workload].needs() == Needs.ANY && typical[workload] > LONG * typicalOfAll;
     }
 
     // Spread out, long statements would keep every replica of a group from applying the log. All routers know
     // the same order of its members, so they agree without a word on who bears them: the first that is not
     // crowded, out of the first half.
     private Node burdened(Statement statement) {
-        if (IntStream.range(0, workloads.length).noneMatch(this::isLong)) {
-            return null;
-        }
-        List<Node> able = new ArrayList<>(statement.group.members.size());
-        for (Node member : statement.group.members) {
-            if (member != statement.group.primary && isUsable(member, statement) && failing(member) < FAILING) {
-                able.add(member);
-            }
-        }
-        able.sort(BY_RANK);
+        Node primary = statement.group.primary;
+        boolean any = IntStream.range(0, typical.length).anyMatch(this::isLong);
+        List<Node> able = any ? statement.group.members.stream().filter(member -> member != primary
+            && isUsable(member, statement) && failing(member) < FAILING).sorted(BY_RANK).toList() : List.of();
         Node bears = null;
-        for (Node member : able.subList(0, Math.min(able.size(), Math.max(1, able.size() / 2)))) {
-            if (!statement.wasSentTo(member) && (bears == null || crowd(bears) > CROWDED && crowd(member) < crowd(bears))) {
+        for (Node member : able.subList(0, Math.max(Math.min(1, able.size()), able.size() / 2))) {
+            if (!statement.wasSentTo(member) && (bears == null || strain(bears) > usualStrain + CROWDED
+                && strain(member) < strain(bears))) {
                 bears = member;
             }
         }
         return bears;
     }
 
-    private double crowd(Node node) {
-        return node.strained.at(now, FORGIVEN);
-    }
-
-    private boolean hasWaited(Statement statement, double share) {
-        return !now.isBefore(statement.takenAt.plus(statement.terms.slo().times(share)));
-    }
-
-    /** How far behind a replica may be that is sent the statement at that moment. */
-    private static Span allowed(Statement statement, Moment at) {
-        return statement.terms.needs() == Needs.BOUNDED ? statement.terms.bound()
-            : at.since(statement.mustSee);
-    }
-
     // How far behind a replica was when last seen, fading: no proof, but it tells which to ask where its own
     // check keeps a stale answer back. Less the age of reports, or late ones make all look equally behind.
     Span lag(Node node) {
@@ -695,43 +667,18 @@
         node.lag.set(now, Math.max(0, lag.micros()));
     }
 
-    // Regular polls of a light router are too rare to prove a replica new enough, and a primary can't take
-    // every read: two replicas are asked just before, and the read waits for one round trip.
-    private boolean asksFirst(Statement statement) {
-        List<Node> members = statement.group.members;
-        int start = chance.nextInt(Math.max(1, members.size()));
-        int asked = hasWaited(statement, ASKING) ? 2 : 0;
-        for (Node member : members) {
-            if (member.pollOut && asked == 0 && isUsable(member, statement)) {
-                return true;
-            }
-            asked = member.pollSent.isBefore(statement.takenAt) ? asked : 2;
-        }
-        boolean waits = false;
-        for (int i = 0; i < members.size() && asked < 2; i++) {
-            Node member = members.get((start + i) % members.size());
-            if (member != statement.group.primary && isUsable(member, statement)
-                && now.since(member.pollSent).isLongerThan(FASTEST_POLL)) {
-                pollNow(member);
-                asked++;
-                waits = true;
-            }
-        }
-        return waits;
-    }
-
     private boolean isUsable(Node node, Statement statement) {
         boolean onTrial = node.out == 0
             && !now.since(node.silentSince.later(node.triedAt)).isShorterThan(TRIAL.times(1 << node.trials));
         // A list may name what does not exist: nothing goes to a node that has never said a word.
-        return listedForUse(node) && !node.down && (node.heard || !allowance.polls())
+        return listedForUse(node) && !node.down && (node.heard || !agreed.allowance().polls())
             && !now.isBefore(node.restsUntil) && (!node.silent || onTrial)
             && (warmth(node) >= 1 || coldAllows(node, typical[statement.workload]));
     }
 
     private boolean isConnected(Node node) {
-        return now.since(node.usedAt).isShorterThan(connections.idleClose())
-            && (connections.streams() > 1 ? node.out < connections.streams() : node.idle > 0);
+        return now.since(node.usedAt).isShorterThan(agreed.connections().idleClose())
+            && agreed.connections().hasRoom(node.out, node.idle);
     }
 
     /** Where new connections cost much time, or fail, one that is open is worth more than a choice. */
@@ -740,7 +687,7 @@
     }
 
     private double busyness(Node node) {
-        double crossing = node.zone != standing.zone() && standing.crossingPrice() > 0 ? 1.3 : 1;
+        double crossing = agreed.standing().isPricedTo(node.zone) ? 1.3 : 1;
         return (node.out + 1) * strain(node) * (1 + 2 * node.util * node.util) * (1 + 10 * failing(node))
             * crossing / node.size;
     }
@@ -752,15 +699,18 @@
             // Even where late is worth a little, a queue of what is late would make all others late.
             timeout = statement.takenAt.plus(terms.slo().times(1 + 2 * terms.lateShare())).since(now);
         }
-        // Where only one may be out, what is lost in a node is found out early enough to try another.
-        double multiple = node.silent || failing(node) >= FAILING ? UNUSUAL : 2 * UNUSUAL;
-        Span unusual = new Span((long) (multiple * typical[statement.workload]));
-        Span forTwo = unusual.plus(new Span((long) (LEAST_CHANCE * typical[statement.workload])));
-        if (!allowance.secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
-            && now.plus(forTwo).isBefore(statement.takenAt.plus(terms.slo()))
-            && (terms.repeat() == Repeat.IDEMPOTENT && multiple == UNUSUAL
-                || now.plus(unusual).isBefore(statement.mayHaveRunSince().earlier(now).plus(terms.window())))) {
-            timeout = unusual;
+        // Where only one may be out, what a node loses is found out early enough to try another: reads where
+        // it is known to lose some, writes that may run again after twice as long.
+        double usual = typical[statement.workload];
+        boolean write = terms.repeat() == Repeat.DEDUPLICATED;
+        Span early = new Span((long) (usual * (write ? 2 * UNUSUAL : UNUSUAL)));
+        if (!agreed.allowance().secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
+            && (write || node.silent || failing(node) >= FAILING)
+            && now.plus(early).plus(new Span((long) (LEAST_CHANCE * usual)))
+                .isBefore(statement.takenAt.plus(terms.slo()))
+            && (!write
+                || statement.mayHaveRunSince().earlier(now).plus(terms.window()).isAfter(now.plus(early)))) {
+            timeout = early;
         }
         boolean opens = !isConnected(node);
         node.idle = opens ? 0 : node.idle - 1;
@@ -778,7 +728,7 @@
             node.coldAt = now;
         }
         // A connection may have to be opened first, and later than this the proof no longer covers the bound.
-        boolean proven = terms.needs() == Needs.BOUNDED && !replication.replicasCheck()
+        boolean proven = terms.needs() == Needs.BOUNDED && !agreed.replication().replicasCheck()
             && node != statement.group.primary;
         outbound.execute(statement.id, node.id, timeout,
             proven ? node.position.plus(terms.bound()) : Moment.NEVER);
@@ -787,30 +737,24 @@
     // ---- Further executions and final answers.
 
     /** How often by importance; whether at all by what an earlier execution may have done. */
-    private boolean mayRunAgain(Statement statement) {
-        return mayRunAgain(statement, 0);
-    }
-
-    /** As if so many of its executions had ended. */
-    private boolean mayRunAgain(Statement statement, int ended) {
-        int stillOut = statement.out - ended;
-        int spare = allowance.executions() - 2;
+    private boolean mayRunAgain(Statement statement, int stillOut) {
+        int spare = statement.nodes.length - 2;
         double share = statement.terms.importance() / topImportance;
-        if (statement.executions >= Math.min(allowance.executions(), 2 + (int) Math.ceil(spare * share))) {
+        if (statement.executions >= Math.min(statement.nodes.length, 2 + (int) Math.ceil(spare * share))) {
             return false;
         }
         return switch (statement.terms.repeat()) {
-            case IDEMPOTENT -> stillOut == 0 || allowance.secondCopies();
+            case IDEMPOTENT -> stillOut == 0 || agreed.allowance().secondCopies();
             case NON_IDEMPOTENT -> !statement.mayHaveRun && statement.out == 0;
             case DEDUPLICATED -> statement.terms.within() != Workload.Within.ZONE
-                ? (stillOut == 0 || allowance.secondCopies())
+                ? (stillOut == 0 || agreed.allowance().secondCopies())
                     && now.isBefore(statement.mayHaveRunSince().plus(statement.terms.window()))
                 : !statement.mayHaveRun && statement.out == 0;
         };
     }
 
     private boolean isOverdue(Statement statement) {
-        Moment end = statement.clientLeaves.minus(allowance.answerSlack());
+        Moment end = statement.clientLeaves.minus(agreed.allowance().answerSlack());
         if (statement.terms.lateShare() <= 0) {
             end = end.earlier(statement.takenAt.plus(statement.terms.slo()));
         }
@@ -824,7 +768,7 @@
             if (statement.group.phase == Phase.STEADY && statement.terms.needs() != Needs.WRITE) {
                 // Any longer for room would leave too little of the SLO time for the work itself. What a node
                 // kept for a while, to turn away or lose it, is past that already, yet has a turn elsewhere.
-                double share = statement.misses > 0 || statement.mayHaveRun ? 0.5 : PATIENCE;
+                double share = statement.misses > 0 || statement.mayHaveRun ? 0.75 : PATIENCE;
                 Moment since = statement.terms.onlyPrimary()
                     ? statement.takenAt.later(statement.group.foundAt) : statement.takenAt;
                 end = end.earlier(since.plus(statement.terms.slo().times(share).longer(LEAST_PATIENCE)));
@@ -848,7 +792,7 @@
         if (harmless) {
             // In a hold it may come back at once: only what is held is released in order to a new primary.
             double share = mayReturnAtOnce ? 0 : 0.75 + 0.25 * chance.nextDouble();
-            outbound.reject(statement.id, allowance.longestComeBack().times(share));
+            outbound.reject(statement.id, agreed.allowance().longestComeBack().times(share));
         } else {
             outbound.abort(statement.id);
         }
@@ -859,12 +803,12 @@
         if (statement.queued && statement.terms.onlyPrimary()) {
             takeOut(statement);
         }
-        callOff(statement);
+        callOff(statement, 0);
     }
 
-    private void callOff(Statement statement) {
-        for (int i = 0; allowance.cancels() && statement.out > 0 && i < statement.executions; i++) {
-            if (statement.isOut[i]) {
+    private void callOff(Statement statement, int from) {
+        for (int i = from; statement.out > 0 && i < statement.executions; i++) {
+            if (statement.isOut[i] && agreed.allowance().cancels()) {
                 outbound.cancel(statement.id, i);
             }
         }
@@ -872,6 +816,7 @@
 
     /** Only what is open is looked at: a large fleet gone over this often would cost more than traffic. */
     private void scan() {
+        boolean copies = agreed.allowance().secondCopies();
         for (int i = open.size() - 1; i >= 0; i--) {
             Statement statement = open.get(i);
             boolean stuck = statement.out > 0;
@@ -881,7 +826,7 @@
                     noteSilence(node, statement, statement.sentAt[k]);
                     // A trial has its own time: called off with the rest, none would ever end a silence.
                     stuck &= node.down || node.silent
-                        && (allowance.secondCopies() || !statement.sentAt[k].isAfter(node.silentSince));
+                        && (copies || !statement.sentAt[k].isAfter(node.silentSince));
                 }
             }
             if (statement.finished) {
@@ -898,12 +843,12 @@
                     takeOut(statement);
                     unplaced.add(statement);
                 }
-            } else if (stuck && mayRunAgain(statement, allowance.secondCopies() ? 0 : statement.out)) {
+            } else if (stuck && mayRunAgain(statement, copies ? statement.out : 0)) {
                 // Waiting on nodes that answer nobody: another execution elsewhere may still be in time.
-                if (allowance.secondCopies()) {
+                if (copies) {
                     unplaced.add(statement);
                 } else {
-                    callOff(statement);
+                    callOff(statement, 0);
                 }
             }
         }
@@ -912,9 +857,9 @@
 
     /** What commonly takes long tells of a silence only late, and what was sent just now of none yet. */
     private void noteSilence(Node node, Statement statement, Moment sent) {
-        double slowed = Math.max(1, strain(node) / usualStrain);
-        Span patience = new Span((long) (typical[statement.workload] * slowed * (2 + 4.0 / Math.max(1, node.out))));
-        if (!node.silent && now.since(node.owesSince.later(sent)).isLongerThan(patience.longer(LEAST_SILENCE))) {
+        double usual = typical[statement.workload] * Math.max(1, strain(node) / usualStrain);
+        Span patience = new Span((long) (usual * (2 + 4.0 / Math.max(1, node.out)))).longer(LEAST_SILENCE);
+        if (!node.silent && now.since(node.owesSince.later(sent)).isLongerThan(patience)) {
             pollNow(node);
             fallSilent(node);
         }
@@ -982,10 +927,11 @@
             }
         }
         boolean late = !took.isShorterThan(statement.terms.slo().times(0.9));
+        boolean untold = !node.tellsCores && now.since(node.pollSent).isLongerThan(SECOND.times(2));
         if (late && now.since(node.pollSent).isLongerThan(SECOND)) {
             pollNow(node);
         }
-        boolean jammed = late && node.util > BUSY || ending == Ending.FULL;
+        boolean jammed = late && (node.util > BUSY || untold) || ending == Ending.FULL;
         if ((jammed || ending == Ending.COMPLETED && !late) && statement.terms.needs() != Needs.WRITE) {
             Fading jam = node == node.group.primary ? node.group.primaryJam : node.group.jam;
             jam.move(now, REMEMBERED, weight(jam.since()), jammed ? 1 : 0);
@@ -1011,10 +957,6 @@
         double strain = strain(node) + weight(node.strained.since()) * (latest - strain(node));
         usualStrain += LEARN / 4 * (strain - usualStrain);
         node.strained.set(now, strain - usualStrain);
-        if (!node.tellsLoad) {
-            // Nothing tells of its cores: the slower it answers, the busier they are held to be.
-            node.util = Math.min(1, strain / FULLY_STRAINED);
-        }
         if (Math.min(strain, latest) > (node.util > BUSY ? STRAINED : HOPELESS)) {
             node.room = Math.max(LEAST_ROOM, node.room - Math.min(0.3, 0.1 * node.room));
         } else if (node.out + 1 > 0.7 * node.room && strain < 1.5 * STRAINED) {
@@ -1072,7 +1014,7 @@
             node.position = node.position.later(wrote ? position.minus(Span.ofMillis(1)) : position);
             sight(node, now.since(position));
         }
-        if (wrote && !replication.sessionsCarryTokens()) {
+        if (wrote && !agreed.replication().sessionsCarryTokens()) {
             sessions.wrote(statement.session, position.isAfter(Moment.LONG_AGO) ? position : now);
         }
     }
@@ -1127,9 +1069,7 @@
     // ---- Cold nodes.
 
     double warmth(Node node) {
-        Span age = now.since(node.startedAt);
-        return age.isShorterThan(warmUp.warmAfter())
-            ? warmUp.coldFrom() + (1 - warmUp.coldFrom()) * Math.max(0, age.over(warmUp.warmAfter())) : 1;
+        return agreed.warmUp().at(now.since(node.startedAt));
     }
 
     double coldLevel(Node node) {
@@ -1142,8 +1082,8 @@
     double coldRate(Node node) {
         double perSize = warmRate(node.group.members);
         double borne = (perSize > 0 ? perSize : warmRate(nodes.values())) * node.size;
-        return Math.max(COLD_SAFETY * warmUp.topplesAt() * warmth(node) * borne,
-            typicalOfAll / warmUp.topplesIn().over(SECOND) / standing.routers());
+        return Math.max(COLD_SAFETY * agreed.warmUp().topplesAt() * warmth(node) * borne,
+            typicalOfAll / agreed.warmUp().topplesIn().over(SECOND) / agreed.standing().routers());
     }
 
     private double warmRate(Collection<Node> among) {
@@ -1159,7 +1099,7 @@
     }
 
     private boolean coldAllows(Node node, double work) {
-        double burst = coldRate(node) * COLD_BURST * warmUp.topplesIn().over(SECOND);
+        double burst = coldRate(node) * COLD_BURST * agreed.warmUp().topplesIn().over(SECOND);
         return coldLevel(node) <= 0 || coldLevel(node) + work <= burst;
     }
 
@@ -1177,7 +1117,7 @@
     private void pollDue() {
         pollDue = Moment.NEVER;
         for (Node node : nodes.values()) {
-            if (node.listing == Listing.GONE && !listedForUse(node) || !allowance.polls()) {
+            if (node.listing == Listing.GONE && !listedForUse(node) || !agreed.allowance().polls()) {
                 continue;
             }
             if (node.pollOut && now.since(node.pollSent).isLongerThan(SECOND)) {
@@ -1203,11 +1143,11 @@
     // Often enough to show replicas inside the tightest bound, as far as the polls bear a price that goes
     // with what this router itself has to send: then all routers together stay below it, however many.
     private Span pollPeriod(Node node) {
-        if (standing.pollPrice() <= 0) {
+        if (agreed.standing().pollPrice() <= 0) {
             return cadence;
         }
         double rate = node.group.rate.at(now, REMEMBERED) / Math.max(1, node.group.members.size());
-        double perSecond = POLL_POINTS / standing.pollPrice() * rate;
+        double perSecond = POLL_POINTS / agreed.standing().pollPrice() * rate;
         return Span.ofMillis(1_000 / Math.max(1e-3, perSecond)).longer(cadence).shorter(RAREST_POLL);
     }
 
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -2,6 +2,7 @@
 
 import basaltlever.Balance;
 import basaltlever.core.Gauges;
+import basaltlever.gateway.Agreed;
 import basaltlever.gateway.Allowance;
 import basaltlever.gateway.Connections;
 import basaltlever.gateway.Drains;
@@ -16,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** What is agreed with a router at start, from either form of it. Spans are given in microseconds. */
@@ -127,8 +129,16 @@
     }
 
     public Function<Outbound, Balance> balance(long seed, Moment now, HoldBudget holds) {
-        return outbound -> new Balance(outbound, new SplittableRandom(seed), standing, workloads,
-            replication, drains, warmUp, allowance, connections, holds, now);
+        return outbound -> new Balance(outbound, new SplittableRandom(seed), agreed(), holds, now);
+    }
+
+    /** The same for decisions that are under way. */
+    public Consumer<Balance> agreement(Moment now) {
+        return balance -> balance.agree(now, agreed());
+    }
+
+    private Agreed agreed() {
+        return new Agreed(standing, workloads, replication, drains, warmUp, allowance, connections);
     }
 
     public Gauges gauges(long origin) {
