No stream is set up for a read where no workload is long

Each read set up an IntStream to ask whether any workload is long: work on the way of every statement, and slow in a process that has just started. A plain loop now; the choice is the same.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -15,7 +15,6 @@
 import basaltlever.time.Span;
 import java.util.*;
 import java.util.function.BooleanSupplier;
-import java.util.stream.IntStream;
 
 /**
  * Every decision of one router; it shares nothing with others. Each event comes with the clock of the batch,
@@ -644,9 +643,11 @@
     // crowded, out of the first half.
     private Node burdened(Statement statement) {
         Node primary = statement.group.primary;
-        boolean any = IntStream.range(0, typical.length).anyMatch(this::isLong);
-        List<Node> able = any ? statement.group.members.stream().filter(member -> member != primary
-            && isUsable(member, statement) && failing(member) < FAILING).sorted(BY_RANK).toList() : List.of();
+        List<Node> able = List.of();
+        for (int kind = 0; kind < typical.length && able.isEmpty(); kind++) {
+            able = !isLong(kind) ? able : statement.group.members.stream().filter(member -> member != primary
+                && isUsable(member, statement) && failing(member) < FAILING).sorted(BY_RANK).toList();
+        }
         Node bears = null;
         for (Node member : able.subList(0, Math.max(Math.min(1, able.size()), able.size() / 2))) {
             if (!statement.wasSentTo(member) && (bears == null || strain(bears) > usualStrain + CROWDED
