Early ends only for writes that may run again in their group

Read over: a write deduplicated within a zone may not run again once it may have run (mayRunAgain), so an early end would only have aborted it sooner.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -703,10 +703,10 @@
         // Where only one may be out, what a node loses is found out early enough to try another: reads where
         // it is known to lose some, writes that may run again after twice as long.
         double usual = typical[statement.workload];
-        boolean write = terms.repeat() == Repeat.DEDUPLICATED;
+        boolean write = terms.repeat() == Repeat.DEDUPLICATED && terms.within() != Workload.Within.ZONE;
         Span early = new Span((long) (usual * (write ? 2 * UNUSUAL : UNUSUAL)));
-        if (!agreed.allowance().secondCopies() && terms.repeat() != Repeat.NON_IDEMPOTENT
-            && (write || node.silent || failing(node) >= FAILING)
+        boolean suspect = node.silent || failing(node) >= FAILING;
+        if (!agreed.allowance().secondCopies() && (write || terms.repeat() == Repeat.IDEMPOTENT && suspect)
             && now.plus(early).plus(new Span((long) (LEAST_CHANCE * usual)))
                 .isBefore(statement.takenAt.plus(terms.slo()))
             && (!write
