Who never answered gets nothing only where another member of its group has answered

Seen: ProcessTest's first statement was rejected (53300, come back in 871 ms) on a machine with all cores busy. The first look at the members takes 1 s at most; where it ends without an answer all members counted as ghosts, and reads gave up their wait for room after 37 ms (isUsable). Ruled out: the reload and hold paths (no such event in the log). A group of which nobody has answered is now sent to as before. Passes under the same load; ghosts come with the true members, so MoveTest's case holds.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -320,7 +320,7 @@
             }
         } else if (ending == Ending.FULL) {
             // Too many ask it at once: no sign of a loss, but one to ask less.
-            node.heard = true;
+            node.heard = node.group.heard = true;
             node.pollDue = now.plus(pollPeriod(node).longer(HOLD_POLL).times(1 + chance.nextDouble()));
         } else {
             pollMissed(node, ending == Ending.NO_CONNECTION || ending == Ending.RESET);
@@ -671,8 +671,8 @@
     private boolean isUsable(Node node, Statement statement) {
         boolean onTrial = node.out == 0
             && !now.since(node.silentSince.later(node.triedAt)).isShorterThan(TRIAL.times(1 << node.trials));
-        // A list may name what does not exist: nothing goes to a node that has never said a word.
-        return listedForUse(node) && !node.down && (node.heard || !agreed.allowance().polls())
+        // A list may name what does not exist: who never said a word gets nothing where another member did.
+        return listedForUse(node) && !node.down && (node.heard || !node.group.heard)
             && !now.isBefore(node.restsUntil) && (!node.silent || onTrial)
             && (warmth(node) >= 1 || coldAllows(node, typical[statement.workload]));
     }
@@ -1028,7 +1028,7 @@
     }
 
     private void up(Node node) {
-        node.heard = true;
+        node.heard = node.group.heard = true;
         node.pollMisses = 0;
         if (now.since(node.refusedAt).isShorterThan(SECOND)) {
             // It refused a connection at once and yet answers: at its limit, not gone. One shows nothing:
--- a/router/src/main/java/basaltlever/model/Group.java
+++ b/router/src/main/java/basaltlever/model/Group.java
@@ -35,6 +35,8 @@
     public final Fading jam = new Fading();
     public final Fading primaryJam = new Fading();
     public boolean changed;
+    /** Some member has answered something. */
+    public boolean heard;
 
     public Group(int number, Moment now, Span reportAge, Comparator<Statement> order, Held held,
                  Outbound outbound) {
