What reports tell is taken from the latest one, so that a switch of settings changes it

Read over: tellsCores stayed true for good, so after a switch from utilization to a queue late answers would never have counted as a jam (learnHealth), and the way back would not have mattered either. It now follows the latest report.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -299,7 +299,7 @@
         if (ending == Ending.COMPLETED) {
             up(node);
             // Whoever has statements waiting has no core to spare; how many cores it has is not told.
-            node.tellsCores |= util >= 0;
+            node.tellsCores = util >= 0;
             node.util = util >= 0 && util <= 2 ? Math.min(1, util)
                 : queue >= 0 ? queue < 0.5 ? UNTOLD_UTIL : 1 : node.util;
             Span reportAge = node.group.reportAge;
--- a/router/src/main/java/basaltlever/model/Node.java
+++ b/router/src/main/java/basaltlever/model/Node.java
@@ -26,7 +26,7 @@
     public Moment position = Moment.LONG_AGO;
 
     public double util;
-    /** Its reports tell how busy its cores are. */
+    /** Its latest report told how busy its cores are: a switch of settings changes what reports hold. */
     public boolean tellsCores;
     public Moment pollDue = Moment.LONG_AGO;
     public Moment pollSent = Moment.LONG_AGO;
