--- a/router/src/main/java/basaltlever/cli/Main.java
+++ b/router/src/main/java/basaltlever/cli/Main.java
@@ -6,6 +6,7 @@
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
 import basaltlever.net.Router;
+import basaltlever.time.Span;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
@@ -34,6 +35,9 @@
         @Parameter(names = "--operator",
             description = "the operator's own file, INI; none where it is not given")
         private String operator;
+        @Parameter(names = "--follow",
+            description = "logs the life of each statement that takes so many milliseconds or more")
+        private Integer follow;
     }
 
     @Parameters(commandDescription = "Reads a start file and names all that is wrong with it")
@@ -99,7 +103,7 @@
             return;
         }
         switch (command == null ? "" : command) {
-            case "serve" -> serve(serve.file, serve.operator);
+            case "serve" -> serve(serve.file, serve.operator, serve.follow);
             case "check" -> check(check.files, check.operator);
             case "rehearse" -> rehearse(rehearse.file, rehearse.workload);
             case "adapter" -> adapter();
@@ -115,7 +119,11 @@
         }
     }
 
-    private static void serve(String file, String operator) throws InterruptedException {
+    private static void serve(String file, String operator, Integer follow) throws InterruptedException {
+        if (follow != null && follow < 0) {
+            System.err.println("basaltlever: --follow takes milliseconds, 0 or more, not " + follow);
+            System.exit(MISUSED);
+        }
         if (file == null) {
             System.err.println("basaltlever: no start file: set GW_CONFIG or give --file");
             System.exit(MISUSED);
@@ -130,6 +138,7 @@
         }
         logsBy(with != null && with.logsJson() ? JSON : PLAIN);
         Router router = new Router();
+        router.follow(follow == null ? null : Span.ofMillis(follow));
         Thread drain = new Thread(() -> {
             router.drain();
             try {
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -8,6 +8,7 @@
 import basaltlever.gateway.Ending;
 import basaltlever.gateway.Role;
 import basaltlever.log.Event;
+import basaltlever.log.Lives;
 import basaltlever.pg.Answer;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
@@ -34,6 +35,7 @@
     private Gauges gauges;
     private Span pollTimeout;
     private final Budget budget;
+    private final Lives lives;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
     /** Empty where members are not asked for planned changes. */
     private String changeTable = "";
@@ -41,7 +43,7 @@
     private Runnable watch;
 
     Carrier(Turn turn, EventLoop loop, Function<String, NodeLink> links, Consumer<String> forgotten,
-            Gauges gauges, Span pollTimeout, Budget budget) {
+            Gauges gauges, Span pollTimeout, Budget budget, Lives lives) {
         this.turn = turn;
         this.loop = loop;
         this.links = links;
@@ -49,6 +51,7 @@
         this.gauges = gauges;
         this.pollTimeout = pollTimeout;
         this.budget = budget;
+        this.lives = lives;
     }
 
     void serve(Core<String> with, Runnable watchStarts) {
@@ -90,6 +93,7 @@
 
     void left(Taken taken) {
         turn.hear(now -> {
+            lives.ends(taken.life, "left");
             taken.answered = true;
             guarded(taken, () -> core.clientLeft(now, taken.ticket));
             forget(taken);
@@ -111,6 +115,7 @@
 
     private void settle(Taken taken, String code, String message, String detail) {
         if (!taken.answered) {
+            lives.step(taken.life, code);
             taken.answered = true;
             taken.client.answerError(code, message, detail);
         }
@@ -136,6 +141,7 @@
         Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
         Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
+        lives.step(taken.life, execution + ">" + node);
         taken.out++;
         turn.act(() -> {
             if (taken.answered || limit.micros() <= 0) {
@@ -255,6 +261,7 @@
 
         @Override
         void write(ByteBuf out) {
+            lives.step(taken.life, number + "w");
             long left = Math.max(1, until.since(turn.clock().now()).micros());
             Write.query(out, taken.text, taken.query.waitFrom, taken.query.waitTo, (left + 999) / 1_000);
         }
@@ -271,7 +278,7 @@
 
         private void ended(Moment now, Ending ending, Answer answer) {
             taken.out--;
-            LOG.debug("execution {} of {} ended {} {}", number, taken.ticket, ending, answer.role);
+            lives.step(taken.life, number + "=" + ending);
             guarded(taken, () -> {
                 if (core.ended(now, taken.ticket, number, ending, role(answer),
                     gauges.afterMillis(answer.position), false)) {
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.log.Event;
+import basaltlever.log.Lives;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
 import basaltlever.pg.Pg;
@@ -10,6 +11,7 @@
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -250,13 +252,24 @@
             }
         }
         Write.ready(end);
-        context.writeAndFlush(end).addListener(done -> budget.release(size));
+        Lives.Life life = taken.life;
+        context.writeAndFlush(end).addListener(done -> {
+            budget.release(size);
+            clients.lives().ends(life, done.isSuccess() ? "row_out" : "row_lost");
+        });
         next();
     }
 
     void answerError(String code, String message, String detail) {
         if (state == State.BUSY) {
-            reply(out -> Write.error(out, "ERROR", code, message, detail));
+            Lives.Life life = taken.life;
+            ByteBuf out = context.alloc().buffer();
+            Write.error(out, "ERROR", code, message, detail);
+            Write.ready(out);
+            ChannelFuture sent = context.writeAndFlush(out);
+            if (life != null) {
+                sent.addListener(done -> clients.lives().ends(life, done.isSuccess() ? "out" : "lost"));
+            }
             next();
         }
     }
@@ -316,6 +329,7 @@
 
     private void gone() {
         if (state != State.CLOSED) {
+            clients.lives().connectionEnds(context.channel().remoteAddress(), state, frames.size());
             state = State.CLOSED;
             frames.release();
             if (asked) {
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.core.Core;
+import basaltlever.log.Lives;
 import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
@@ -23,6 +24,7 @@
     private final int mostOpen;
     private final Budget budget;
     private final Tally bad;
+    private final Lives lives;
     private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
     private Core<String> core;
     private Carrier carrier;
@@ -30,13 +32,14 @@
     private boolean closesIdle;
 
     Clients(Turn turn, Descriptors descriptors, List<String> workloadNames, int mostOpen, Budget budget,
-            Tally bad) {
+            Tally bad, Lives lives) {
         this.turn = turn;
         this.descriptors = descriptors;
         this.workloadNames = workloadNames;
         this.mostOpen = mostOpen;
         this.budget = budget;
         this.bad = bad;
+        this.lives = lives;
     }
 
     void serve(Core<String> with, Carrier by) {
@@ -72,7 +75,8 @@
 
     /** Takes the text over. */
     Taken take(ClientConnection client, ByteBuf text, Query query, int workload) {
-        Taken taken = new Taken(++tickets, client, text, query);
+        Taken taken = new Taken(++tickets, client, text, query, lives.areFollowed() ? lives.begins(query.id,
+            now(), now().plus(Span.ofMillis(query.waitMillis))) : null);
         boolean fits = budget.hold(text.capacity());
         turn.hear(now -> {
             taken.clientLeaves = now.plus(Span.ofMillis(query.waitMillis));
@@ -80,6 +84,7 @@
                 carrier.turnAway(taken);
                 return;
             }
+            lives.step(taken.life, "taken");
             carrier.add(taken);
             carrier.guarded(taken, () -> core.taken(now, taken.ticket, workload, query.group, query.session,
                 taken.clientLeaves, query.after == 0 ? Moment.LONG_AGO : new Moment(query.after * 1_000),
@@ -93,6 +98,11 @@
         Moment now = now();
         new ArrayList<>(connections).forEach(connection -> connection.endOverdue(now));
         descriptors.shed(now, KEPT);
+        lives.sweep();
+    }
+
+    Lives lives() {
+        return lives;
     }
 
     Moment now() {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -12,6 +12,7 @@
 import basaltlever.keep.Keeper;
 import basaltlever.keep.Machine;
 import basaltlever.log.Event;
+import basaltlever.log.Lives;
 import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
 import basaltlever.time.Moment;
@@ -96,8 +97,17 @@
     private Carrier carrier;
     private HoldBudget holds;
     private Span longestTimeout;
+    /** Statements that take longer are followed in the log; null for none. */
+    private Span follows;
+    private Lives lives;
+    private Moment swept;
     private PooledByteBufAllocator buffers;
 
+    /** To be said before it starts: the life of each statement that takes longer goes to the log. */
+    public void follow(Span over) {
+        follows = over;
+    }
+
     /** Reads, listens, and returns once it serves. The operator's file is null where there is none. */
     public void start(Path from, OperatorFile with) throws StartFault, InterruptedException {
         file = from;
@@ -275,6 +285,8 @@
         StartValues values = start.values();
         Clock clock = new Clock();
         turn = new Turn(loop, clock);
+        lives = new Lives(follows, clock::now);
+        swept = clock.now();
         buffers = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER,
             PooledByteBufAllocator.defaultSmallCacheSize(),
             PooledByteBufAllocator.defaultNormalCacheSize(), true);
@@ -290,9 +302,9 @@
             outwards, loop, clock, descriptors, budget, inForce.values().connectTimeout(),
             inForce.values().idleClose(), badNodes));
         carrier = new Carrier(turn, loop, linkTo, this::forget, values.gauges(0),
-            values.connectTimeout(), budget);
+            values.connectTimeout(), budget, lives);
         clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen(), budget,
-            new Tally(LoggerFactory.getLogger(Clients.class), Event.CLIENT_BAD, clock::now));
+            new Tally(LoggerFactory.getLogger(Clients.class), Event.CLIENT_BAD, clock::now), lives);
         longestTimeout = values.longestTimeout();
         holds = values.holds();
         core = new Core<>(carrier, values.balance(start.seed(), turn.now(), holds));
@@ -302,10 +314,17 @@
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
-        loop.scheduleWithFixedDelay(clients::sweep, SWEEPS.micros(), SWEEPS.micros(), TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(this::sweep, SWEEPS.micros(), SWEEPS.micros(), TimeUnit.MICROSECONDS);
         loop.scheduleWithFixedDelay(this::readTables, READS.micros(), READS.micros(), TimeUnit.MICROSECONDS);
     }
 
+    private void sweep() {
+        Moment now = turn.clock().now();
+        lives.loopWas(now.since(swept).minus(SWEEPS));
+        swept = now;
+        clients.sweep();
+    }
+
     /** Each member's table every third time: all tell the same, so a group is asked about once a second. */
     private void readTables() {
         reads++;
--- a/router/src/main/java/basaltlever/net/Taken.java
+++ b/router/src/main/java/basaltlever/net/Taken.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.log.Lives;
 import basaltlever.pg.Query;
 import basaltlever.time.Moment;
 import io.netty.buffer.ByteBuf;
@@ -12,6 +13,8 @@
     final ClientConnection client;
     final ByteBuf text;
     final Query query;
+    /** Null where nobody follows it. */
+    final Lives.Life life;
     /** By the count that the decisions give them. */
     final List<Job> executions = new ArrayList<>(2);
     Moment clientLeaves;
@@ -20,10 +23,11 @@
     boolean forgotten;
 
     /** Takes the text over. */
-    Taken(long ticket, ClientConnection client, ByteBuf text, Query query) {
+    Taken(long ticket, ClientConnection client, ByteBuf text, Query query, Lives.Life life) {
         this.ticket = ticket;
         this.client = client;
         this.text = text;
         this.query = query;
+        this.life = life;
     }
 }
--- a/router/src/main/java/basaltlever/pg/Query.java
+++ b/router/src/main/java/basaltlever/pg/Query.java
@@ -16,6 +16,8 @@
     /** Where the digits of the wait stand, counted from the first byte of the text. */
     public int waitFrom;
     public int waitTo;
+    /** As the client gave it. */
+    public String id;
     public String workload;
     public long waitMillis;
     public int group;
@@ -74,7 +76,7 @@
 
     private void fields() throws PgFault {
         workload = need("c");
-        need("id");
+        id = need("id");
         waitMillis = number("d", need("d"), LONGEST_WAIT);
         group = (int) number("cluster", names.getOrDefault("cluster", "0"), Integer.MAX_VALUE);
         after = number("after", names.getOrDefault("after", "0"), Long.MAX_VALUE / 4_000);
