--- a/router/src/main/java/basaltlever/log/Event.java
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -25,6 +25,7 @@
     CLIENT_BAD("client_bad", "client", "cause", "more"),
     FAULT("fault", "doing"),
     STATEMENT("statement", "id", "how", "took_ms", "time_ms", "more", "steps"),
+    OVERDUE("overdue", "id", "executions", "out"),
     LOOP_LATE("loop_late", "by_ms"),
     CLIENT_ENDED("client_ended", "client", "state", "bytes"),
     VIEW_TAKEN("view_taken", "file", "age_ms", "nodes", "weight"),
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -18,6 +18,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.util.collection.LongObjectHashMap;
+import io.netty.util.concurrent.Future;
+import java.util.Comparator;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -28,6 +31,8 @@
 /** Carries out on sockets what the decisions want, and brings them what became of it. */
 final class Carrier implements Outside<String> {
     private static final Logger LOG = LoggerFactory.getLogger(Carrier.class);
+    /** The decisions' own timers, and executions cut to the same moment, come first. */
+    private static final Span GUARD = Span.ofMillis(10);
     private final Turn turn;
     private final EventLoop loop;
     private final Function<String, NodeLink> links;
@@ -37,6 +42,11 @@
     private final Budget budget;
     private final Lives lives;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
+    /** All that are unanswered, by the time at which they are owed an answer. */
+    private final TreeSet<Taken> owed = new TreeSet<>(Comparator
+        .comparingLong((Taken taken) -> taken.owedBy.micros()).thenComparingLong(taken -> taken.ticket));
+    private Future<?> look;
+    private Moment looksAt = Moment.NEVER;
     /** Empty where members are not asked for planned changes. */
     private String changeTable = "";
     private Core<String> core;
@@ -84,6 +94,48 @@
 
     void add(Taken taken) {
         statements.put(taken.ticket, taken);
+        owed.add(taken);
+        lookAt(taken.owedBy.plus(GUARD));
+    }
+
+    private void lookAt(Moment at) {
+        if (at.isBefore(looksAt)) {
+            if (look != null) {
+                look.cancel(false);
+            }
+            looksAt = at;
+            look = loop.schedule(() -> turn.hear(now -> overdue(now, now)), Math.max(1, at.since(turn.clock().now())
+                .micros()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /**
+     * The decisions answer everything in time by their own rules; this is for what they may forget, whatever
+     * became of its node, its client, its phase or a timer. Aborted, since nothing is proven of it here.
+     */
+    private void overdue(Moment now, Moment upTo) {
+        looksAt = Moment.NEVER;
+        while (!owed.isEmpty() && !owed.first().owedBy.plus(GUARD).isAfter(upTo)) {
+            Taken taken = owed.pollFirst();
+            if (!taken.answered) {
+                turn.act(() -> {
+                    if (!taken.answered) {
+                        Event.OVERDUE.log(LOG, Level.WARN, "aborted by the guard", taken.query.id,
+                            taken.executions.size(), taken.out);
+                        settle(taken, Pg.UNKNOWN_EFFECT, "the statement's time is over", null);
+                        left(taken);
+                    }
+                });
+            }
+        }
+        if (!owed.isEmpty()) {
+            lookAt(owed.first().owedBy.plus(GUARD));
+        }
+    }
+
+    /** A router that stops leaves nobody without an answer. */
+    void answerAll(Moment now) {
+        overdue(now, Moment.NEVER);
     }
 
     /** Beyond what the settings allow to be open, before the decisions hear of it. */
@@ -123,6 +175,9 @@
     }
 
     private void forget(Taken taken) {
+        if (taken.answered) {
+            owed.remove(taken);
+        }
         if (taken.answered && taken.out == 0 && !taken.forgotten) {
             taken.forgotten = true;
             statements.remove(taken.ticket);
@@ -137,7 +192,7 @@
     @Override
     public void execute(long ticket, int execution, String node, Span timeout, Moment sendBy) {
         Taken taken = statements.get(ticket);
-        Span left = taken.clientLeaves.since(turn.now());
+        Span left = taken.owedBy.since(turn.now());
         Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
         Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import basaltlever.log.Event;
 import basaltlever.log.Lives;
+import basaltlever.pg.Arrivals;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
 import basaltlever.pg.Pg;
@@ -16,6 +17,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +42,11 @@
     private final Budget budget;
     private final Frames frames;
     private ChannelHandlerContext context;
+    private final Arrivals arrivals = new Arrivals();
+    /** Of the message in hand. */
+    private Moment arrived = Moment.LONG_AGO;
+    /** What ends this connection once the statement in hand is answered. */
+    private PgFault after;
     private State state = State.STARTING;
     private Taken taken;
     /** After an error in the extended protocol all is skipped up to the next Sync. */
@@ -70,9 +77,16 @@
             ((ByteBuf) read).release();
             return;
         }
+        arrivals.read(((ByteBuf) read).readableBytes(), clients.arrival());
         try {
             frames.add((ByteBuf) read);
         } catch (PgFault fault) {
+            if (state == State.BUSY) {
+                // The statement in hand is owed its own answer first: this one would say nothing was done.
+                after = fault;
+                context.channel().config().setAutoRead(false);
+                return;
+            }
             refuse(fault);
         }
         pump();
@@ -84,13 +98,16 @@
             int left = AT_ONCE;
             while ((state == State.STARTING || state == State.READY) && context.channel().isWritable()) {
                 if (left-- == 0) {
-                    context.channel().eventLoop().execute(this::pump);
+                    // A task would run before the loop reads again: one client that sends much at once
+                    // kept all others, and every timer's answer, waiting.
+                    context.channel().eventLoop().schedule(this::pump, 0, TimeUnit.NANOSECONDS);
                     break;
                 }
                 ByteBuf message = state == State.STARTING ? frames.nextUntyped() : frames.next();
                 if (message == null) {
                     break;
                 }
+                arrived = arrivals.cut(message.readableBytes());
                 if (state == State.STARTING) {
                     start(message);
                 } else {
@@ -105,7 +122,9 @@
                 clients.descriptors().busy(this);
             }
             // A client may send more ahead, but not without end.
-            context.channel().config().setAutoRead(frames.size() <= LARGEST);
+            if (state != State.CLOSED) {
+                context.channel().config().setAutoRead(frames.size() <= LARGEST);
+            }
         } catch (PgFault fault) {
             refuse(fault);
         }
@@ -132,7 +151,7 @@
             ByteBuf out = context.alloc().buffer();
             Write.error(out, "FATAL", fault.code, fault.getMessage(), null);
             gone();
-            context.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
+            closesAfter(context.writeAndFlush(out));
         }
     }
 
@@ -215,7 +234,7 @@
             clients.descriptors().busy(this);
             // It outlives the buffer that it was read into: later executions send it again.
             ByteBuf kept = context.alloc().buffer(text.readableBytes()).writeBytes(text);
-            taken = clients.take(this, kept, query, workload);
+            taken = clients.take(this, kept, query, workload, arrived);
         } catch (PgFault fault) {
             clients.spoilt(context.channel().remoteAddress(), fault.getMessage());
             reply(out -> Write.error(out, "ERROR", fault.code, fault.getMessage(), null));
@@ -276,12 +295,16 @@
 
     private void next() {
         taken = null;
-        if (clients.closesIdle()) {
-            closeIdle();
+        ready();
+        if (after != null) {
+            refuse(after);
             return;
         }
-        ready();
+        // What was read behind it is taken, also by a router that ends: only then may it close.
         pump();
+        if (state == State.READY && clients.closesIdle()) {
+            closeIdle();
+        }
     }
 
     private void ready() {
@@ -293,9 +316,18 @@
     /** Between statements a client's connection may be closed; what crosses that, the client sends again. */
     @Override
     public void closeIdle() {
-        if (state != State.CLOSED) {
+        if (state != State.CLOSED && (state == State.STARTING || frames.size() == 0)) {
             gone();
-            context.writeAndFlush(context.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+            closesAfter(context.writeAndFlush(context.alloc().buffer(0)));
+        }
+    }
+
+    /** Who does not read what is left for it keeps its descriptor for no longer than anybody silent. */
+    private void closesAfter(ChannelFuture written) {
+        written.addListener(ChannelFutureListener.CLOSE);
+        if (!written.isDone()) {
+            context.channel().eventLoop().schedule(() -> context.close(), PATIENCE.micros(),
+                TimeUnit.MICROSECONDS);
         }
     }
 
@@ -331,6 +363,8 @@
         if (state != State.CLOSED) {
             clients.lives().connectionEnds(context.channel().remoteAddress(), state, frames.size());
             state = State.CLOSED;
+            // What is not read from here on crosses the close, and its client sends it again.
+            context.channel().config().setAutoRead(false);
             frames.release();
             if (asked) {
                 clients.descriptors().asksNoMore();
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -18,6 +18,8 @@
 final class Clients {
     /** A client may rely on an idle connection for this long. */
     private static final Span KEPT = Span.ofMillis(2_000);
+    /** No more of a statement's time is given up for answers that this loop may send late. */
+    private static final double MOST_EARLY = 0.25;
     private final Turn turn;
     private final Descriptors descriptors;
     private final List<String> workloadNames;
@@ -74,12 +76,15 @@
     }
 
     /** Takes the text over. */
-    Taken take(ClientConnection client, ByteBuf text, Query query, int workload) {
-        Taken taken = new Taken(++tickets, client, text, query, lives.areFollowed() ? lives.begins(query.id,
-            now(), now().plus(Span.ofMillis(query.waitMillis))) : null);
+    Taken take(ClientConnection client, ByteBuf text, Query query, int workload, Moment arrived) {
+        Taken taken = new Taken(++tickets, client, text, query, arrived, lives.areFollowed()
+            ? lives.begins(query.id, arrived, arrived.plus(Span.ofMillis(query.waitMillis))) : null);
         boolean fits = budget.hold(text.capacity());
         turn.hear(now -> {
-            taken.clientLeaves = now.plus(Span.ofMillis(query.waitMillis));
+            // Its client waits since it sent, not since this loop came to read; and what a loop wants done at
+            // a moment is done as much later as its turns take.
+            Span waits = Span.ofMillis(query.waitMillis);
+            taken.owedBy = arrived.plus(waits).minus(turn.lateness().shorter(waits.times(MOST_EARLY)));
             if (carrier.open() >= mostOpen || !fits) {
                 carrier.turnAway(taken);
                 return;
@@ -87,7 +92,7 @@
             lives.step(taken.life, "taken");
             carrier.add(taken);
             carrier.guarded(taken, () -> core.taken(now, taken.ticket, workload, query.group, query.session,
-                taken.clientLeaves, query.after == 0 ? Moment.LONG_AGO : new Moment(query.after * 1_000),
+                taken.owedBy, query.after == 0 ? Moment.LONG_AGO : new Moment(query.after * 1_000),
                 taken.text.capacity()));
         });
         return taken;
@@ -105,6 +110,11 @@
         return lives;
     }
 
+    /** When the bytes that are read now have come, at the latest. */
+    Moment arrival() {
+        return turn.arrival();
+    }
+
     Moment now() {
         return turn.clock().now();
     }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -436,15 +436,20 @@
             return;
         }
         enter(Phase.STOPPED);
+        if (turn == null) {
+            end();
+            return;
+        }
+        turn.hear(carrier::answerAll);
         if (keeper != null && core != null) {
             turn.hear(now -> {
                 List<Known> nodes = new ArrayList<>();
                 learnedFrom(now, 0, Integer.MAX_VALUE / 2, nodes);
                 keeper.ends(learned(now, nodes));
-                end();
+                turn.act(this::end);
             });
         } else {
-            end();
+            turn.hear(now -> turn.act(this::end));
         }
     }
 
--- a/router/src/main/java/basaltlever/net/Taken.java
+++ b/router/src/main/java/basaltlever/net/Taken.java
@@ -17,17 +17,20 @@
     final Lives.Life life;
     /** By the count that the decisions give them. */
     final List<Job> executions = new ArrayList<>(2);
-    Moment clientLeaves;
+    /** Its last byte had come by then at the latest, and its answer goes out by then. */
+    final Moment arrived;
+    Moment owedBy;
     int out;
     boolean answered;
     boolean forgotten;
 
     /** Takes the text over. */
-    Taken(long ticket, ClientConnection client, ByteBuf text, Query query, Lives.Life life) {
+    Taken(long ticket, ClientConnection client, ByteBuf text, Query query, Moment arrived, Lives.Life life) {
         this.ticket = ticket;
         this.client = client;
         this.text = text;
         this.query = query;
+        this.arrived = arrived;
         this.life = life;
     }
 }
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -2,6 +2,7 @@
 
 import basaltlever.log.Event;
 import basaltlever.time.Moment;
+import basaltlever.time.Span;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
@@ -10,28 +11,62 @@
 
 /**
  * One turn of the loop: what the handlers heard is handed to the decisions in one go, after all I/O of the
- * turn and with one reading of the clock; only then is carried out what came back, in order.
+ * turn and with one reading of the clock; only then is carried out what came back, in order. It knows how
+ * long turns take, since what comes meanwhile is read late and what is due meanwhile goes out late.
  */
 final class Turn {
     private static final Logger LOG = LoggerFactory.getLogger(Turn.class);
+    /** A loop that begins again this soon after its last turn did not wait for what it reads now. */
+    private static final Span AT_ONCE = Span.ofMillis(5);
+    private static final Span REMEMBERED = Span.ofMillis(5_000);
     private final SingleThreadEventLoop loop;
     private final Clock clock;
     private final ArrayDeque<Consumer<Moment>> heard = new ArrayDeque<>();
     private final ArrayDeque<Runnable> acts = new ArrayDeque<>();
     private boolean asked;
     private Moment now;
+    /** When this turn began, and what it reads may have come; when the last one ended. */
+    private Moment began;
+    private Moment earliest;
+    private Moment ended;
+    /** The longest turn of these last seconds, and of those before. */
+    private Span longest = Span.NONE;
+    private Span longestBefore = Span.NONE;
+    private Moment remembersFrom;
 
     Turn(SingleThreadEventLoop loop, Clock clock) {
         this.loop = loop;
         this.clock = clock;
         now = clock.now();
+        began = now;
+        earliest = now;
+        ended = now;
+        remembersFrom = now;
     }
 
     /** For handlers and timers; on the loop's thread only. */
     void hear(Consumer<Moment> input) {
         heard.add(input);
+        begins();
+    }
+
+    /** For handlers that read: no later than this can the bytes have come that are read in this turn. */
+    Moment arrival() {
+        begins();
+        return earliest;
+    }
+
+    /** What a turn has taken at most of late: so much later than asked may the next thing be done. */
+    Span lateness() {
+        return longest.longer(longestBefore);
+    }
+
+    private void begins() {
         if (!asked) {
             asked = true;
+            Moment at = clock.now();
+            earliest = at.since(ended).isLongerThan(AT_ONCE) ? at : began;
+            began = at;
             loop.executeAfterEventLoopIteration(this::run);
         }
     }
@@ -61,6 +96,13 @@
         for (Runnable act = acts.poll(); act != null; act = acts.poll()) {
             guarded("carrying out", act);
         }
+        ended = clock.now();
+        if (ended.since(remembersFrom).isLongerThan(REMEMBERED)) {
+            longestBefore = ended.since(remembersFrom).isLongerThan(REMEMBERED.times(2)) ? Span.NONE : longest;
+            longest = Span.NONE;
+            remembersFrom = ended;
+        }
+        longest = longest.longer(ended.since(began));
     }
 
     private static void guarded(String what, Runnable step) {
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -32,7 +32,7 @@
  * Stands in for the world of one router: records what it does, checks the rules at each act, and can play
  * nodes.
  */
-final class StandIn implements Outbound {
+public final class StandIn implements Outbound {
     static final int ANY = 0;
     static final int BOUNDED = 1;
     static final int SESSION = 2;
@@ -272,7 +272,7 @@
 
     // ---- What the router does, with the rules checked.
 
-    static void check(boolean holds, String rule) {
+    public static void check(boolean holds, String rule) {
         if (!holds) {
             throw new AssertionError(rule);
         }
@@ -499,7 +499,7 @@
     }
 
     /** Nodes and discovery on loopback sockets, blocking and one thread a connection, for a whole router. */
-    static final class SocketWorld implements AutoCloseable {
+    public static final class SocketWorld implements AutoCloseable {
         /** What a node does with a statement. */
         enum Mode {
             ROW, SLOWLY, LARGE, NOT_PRIMARY, BEHIND, ERROR, FULL, OTHER, SILENT, BREAKS, GARBAGE, TWO_ROWS,
@@ -699,25 +699,25 @@
         }
 
         /** A client on one connection, blocking. */
-        static final class Client implements AutoCloseable {
+        public static final class Client implements AutoCloseable {
             final Socket socket;
             final DataInputStream in;
 
-            Client(int port) throws IOException {
+            public Client(int port) throws IOException {
                 socket = new Socket("127.0.0.1", port);
                 socket.setTcpNoDelay(true);
                 socket.setSoTimeout(8_000);
                 in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
             }
 
-            Client start() throws IOException {
+            public Client start() throws IOException {
                 ByteBuf out = Unpooled.buffer();
                 Write.startup(out, "app", "shop");
                 send(socket, out);
                 return this;
             }
 
-            Client ask(String query) throws IOException {
+            public Client ask(String query) throws IOException {
                 ByteBuf out = Unpooled.buffer();
                 Write.query(out, query);
                 send(socket, out);
@@ -725,7 +725,7 @@
             }
 
             /** All up to ReadyForQuery in short: row:VALUE, error:CODE:DETAIL, other letters as they are. */
-            String answer() throws IOException {
+            public String answer() throws IOException {
                 StringBuilder told = new StringBuilder();
                 while (true) {
                     int type = in.read();
@@ -885,7 +885,7 @@
             watch.close();
         }
 
-        static String statement(String id, String workload, int millis) {
+        public static String statement(String id, String workload, int millis) {
             return "/* id=" + id + ",c=" + workload + ",d=" + millis + ",cluster=1 */ SELECT doc FROM items"
                 + " WHERE id = 'k'";
         }
--- /dev/null
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -0,0 +1,170 @@
+package basaltlever.net;
+
+import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.StandIn.check;
+
+import basaltlever.StandIn.SocketWorld.Client;
+import basaltlever.config.StartFile;
+import basaltlever.core.Core;
+import basaltlever.core.Gauges;
+import basaltlever.core.Outside;
+import basaltlever.log.Event;
+import basaltlever.log.Lives;
+import basaltlever.log.Tally;
+import basaltlever.pg.Budget;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.slf4j.LoggerFactory;
+
+/**
+ * From its last byte on a statement owns a time by which its answer goes out. Here the decisions never say a
+ * word of any statement, which is the worst that they could forget, and the loop is held up.
+ */
+class OwedTest {
+    /** Of a machine that runs other tests beside this. */
+    private static final long SLACK_MILLIS = 90;
+
+    private static final class Forgetful implements AutoCloseable {
+        final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+        Clients clients;
+        Turn turn;
+        final int port;
+
+        Forgetful() throws Exception {
+            loop.submit(this::build).sync();
+            Channel listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(clients.admit());
+                    }
+                }).bind(new InetSocketAddress("127.0.0.1", 0)).sync().channel();
+            port = ((InetSocketAddress) listener.localAddress()).getPort();
+        }
+
+        @SuppressWarnings("unchecked")
+        private Object build() throws Exception {
+            var values = StartFile.read(Path.of("deploy/example.json")).values();
+            Clock clock = new Clock();
+            turn = new Turn(loop, clock);
+            Budget budget = new Budget(1 << 24);
+            Lives lives = new Lives(null, clock::now);
+            Carrier carrier = new Carrier(turn, loop, node -> null, node -> { }, new Gauges(List.of(), 0),
+                Span.ofMillis(100), budget, lives);
+            Outside<String> silent = (Outside<String>) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {Outside.class}, (proxy, method, arguments) -> null);
+            clients = new Clients(turn, new Descriptors(200), values.workloadNames(), 500, budget,
+                new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD, clock::now), lives);
+            Core<String> core = new Core<>(silent, values.balance(1, clock.now(), values.holds()));
+            clients.serve(core, carrier);
+            carrier.serve(core, () -> { });
+            return null;
+        }
+
+        void stall(long millis) {
+            loop.execute(() -> turn.hear(now -> {
+                try {
+                    Thread.sleep(millis);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }));
+        }
+
+        @Override
+        public void close() throws Exception {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000;
+    }
+
+    @Example
+    void whatComesWhileTheLoopIsBusyCountsFromThenOn() throws Exception {
+        try (Forgetful router = new Forgetful(); Client client = new Client(router.port)) {
+            client.start().answer();
+            for (int i = 0; i < 3; i++) {
+                router.stall(400);
+                Thread.sleep(40);
+                long sent = System.nanoTime();
+                String answer = client.ask(statement("a" + i, "list", 600)).answer();
+                long took = millisSince(sent);
+                check(answer.startsWith("error:58000") && took <= 600 + SLACK_MILLIS, answer + took);
+            }
+        }
+    }
+
+    /** Clients that send the next ones early, on a loop that is held up again and again. */
+    @Property(tries = 4, seed = "281", shrinking = ShrinkingMode.OFF)
+    void eachIsAnsweredOnceAndInItsTimeThoughTheDecisionsForgetIt(@ForAll long seed) throws Exception {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<String> faults = Collections.synchronizedList(new ArrayList<>());
+        try (Forgetful router = new Forgetful()) {
+            try (Client first = new Client(router.port)) {
+                // Loading classes holds up the loop for longer than any stall here.
+                first.start().ask(statement("w", "list", 100)).ask(statement("x", "list", 100));
+                first.answer();
+                first.answer();
+                first.answer();
+            }
+            List<Thread> threads = new ArrayList<>();
+            for (int c = 0; c < 8; c++) {
+                SplittableRandom own = chance.split();
+                Thread thread = new Thread(() -> {
+                    try (Client client = new Client(router.port)) {
+                        client.start().answer();
+                        for (int i = 0; i < 3; i++) {
+                            int wait = 200 + own.nextInt(300);
+                            int many = 1 + own.nextInt(3);
+                            long sent = System.nanoTime();
+                            for (int k = 0; k < many; k++) {
+                                client.ask(statement("s" + own.nextLong(), "list", wait));
+                            }
+                            for (int k = 0; k < many; k++) {
+                                String answer = client.answer();
+                                long took = millisSince(sent);
+                                if (!answer.startsWith("error:58000") || took > wait + 120 + SLACK_MILLIS) {
+                                    faults.add(k + " of " + many + " took " + took + " of " + wait + answer);
+                                }
+                            }
+                        }
+                    } catch (Exception fault) {
+                        faults.add("" + fault);
+                    }
+                });
+                thread.start();
+                threads.add(thread);
+            }
+            for (int i = 0; i < 8; i++) {
+                router.stall(20 + chance.nextInt(100));
+                Thread.sleep(150);
+            }
+            for (Thread thread : threads) {
+                thread.join();
+            }
+        }
+        check(faults.isEmpty(), "" + faults);
+    }
+}
