--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -117,16 +117,14 @@
         looksAt = Moment.NEVER;
         while (!owed.isEmpty() && !owed.first().owedBy.plus(GUARD).isAfter(upTo)) {
             Taken taken = owed.pollFirst();
-            if (!taken.answered) {
-                turn.act(() -> {
-                    if (!taken.answered) {
-                        Event.OVERDUE.log(LOG, Level.WARN, "aborted by the guard", taken.query.id,
-                            taken.executions.size(), taken.out);
-                        settle(taken, Pg.UNKNOWN_EFFECT, "the statement's time is over", null);
-                        left(taken);
-                    }
-                });
-            }
+            guarded(taken, () -> core.clientLeft(now, taken.ticket));
+            turn.act(() -> {
+                if (!taken.answered) {
+                    Event.OVERDUE.log(LOG, Level.WARN, "aborted by the guard", taken.query.id,
+                        taken.executions.size(), taken.out);
+                    settle(taken, Pg.UNKNOWN_EFFECT, "the statement's time is over", null);
+                }
+            });
         }
         if (!owed.isEmpty()) {
             lookAt(owed.first().owedBy.plus(GUARD));
@@ -255,8 +253,19 @@
 
     @Override
     public void wake(Span fromNow) {
-        turn.act(() -> loop.schedule(() -> turn.hear(core::woken), Math.max(1, fromNow.micros()),
-            TimeUnit.MICROSECONDS));
+        Moment due = turn.now().plus(fromNow);
+        turn.act(() -> wakeAt(due, fromNow));
+    }
+
+    /** Woken too early, the decisions would wait for a timer that is gone, and look at nothing until spoken to. */
+    private void wakeAt(Moment due, Span fromNow) {
+        loop.schedule(() -> turn.hear(now -> {
+            if (now.isBefore(due)) {
+                turn.act(() -> wakeAt(due, due.since(now)));
+            } else {
+                core.woken(now);
+            }
+        }), Math.max(1, fromNow.micros()), TimeUnit.MICROSECONDS);
     }
 
     /** Each is opened by a poll of its own: a connection that has answered one is known to be good. */
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -94,6 +94,7 @@
     private volatile SingleThreadEventLoop loop;
     private Channel listener;
     private Clients clients;
+    private Tally badClients;
     private Carrier carrier;
     private HoldBudget holds;
     private Span longestTimeout;
@@ -303,8 +304,9 @@
             inForce.values().idleClose(), badNodes));
         carrier = new Carrier(turn, loop, linkTo, this::forget, values.gauges(0),
             values.connectTimeout(), budget, lives);
+        badClients = new Tally(LoggerFactory.getLogger(Clients.class), Event.CLIENT_BAD, clock::now);
         clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen(), budget,
-            new Tally(LoggerFactory.getLogger(Clients.class), Event.CLIENT_BAD, clock::now), lives);
+            badClients, lives);
         longestTimeout = values.longestTimeout();
         holds = values.holds();
         core = new Core<>(carrier, values.balance(start.seed(), turn.now(), holds));
@@ -366,6 +368,7 @@
         return new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers)
+            .handler(new Accepting(badClients))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -48,11 +48,14 @@
         final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Clients clients;
         Turn turn;
+        final Channel listener;
         final int port;
 
         Forgetful() throws Exception {
             loop.submit(this::build).sync();
-            Channel listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .handler(new Accepting(new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD,
+                    turn.clock()::now)))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -116,6 +119,18 @@
         }
     }
 
+    @Example
+    void aFaultOfTheListenerKeepsNobodyWaiting() throws Exception {
+        try (Forgetful router = new Forgetful()) {
+            router.listener.pipeline().fireExceptionCaught(new java.io.IOException("planted")).channel()
+                .eventLoop().submit(() -> null).sync();
+            long since = System.nanoTime();
+            try (Client client = new Client(router.port)) {
+                check(client.start().answer().isEmpty() && millisSince(since) < 400, "accepted at once");
+            }
+        }
+    }
+
     /** Clients that send the next ones early, on a loop that is held up again and again. */
     @Property(tries = 4, seed = "281", shrinking = ShrinkingMode.OFF)
     void eachIsAnsweredOnceAndInItsTimeThoughTheDecisionsForgetIt(@ForAll long seed) throws Exception {
