--- a/lab/src/main/java/basaltlever/lab/Compare.java
+++ b/lab/src/main/java/basaltlever/lab/Compare.java
@@ -45,27 +45,16 @@
     }
 
     private static void tell(String name, Map<Long, Map<?, ?>> a, Map<Long, Map<?, ?>> b) {
-        int count = 0;
-        double sumA = 0;
-        double sumB = 0;
-        double squares = 0;
+        Pairs pairs = new Pairs();
         for (Long seed : a.keySet()) {
             if (a.get(seed).get(name) instanceof BigDecimal one && b.get(seed)
                 .get(name) instanceof BigDecimal other) {
-                count++;
-                sumA += one.doubleValue();
-                sumB += other.doubleValue();
-                squares += Math.pow(other.doubleValue() - one.doubleValue(), 2);
+                pairs.add(one.doubleValue(), other.doubleValue());
             }
         }
-        if (count > 0 && !name.equals("seed")) {
-            double mean = (sumB - sumA) / count;
-            // The standard error of the mean of the paired differences; none can be told from one pair.
-            double noise = count < 2 ? Double.NaN
-                : Math.sqrt(Math.max(0, squares / count - mean * mean) / (count - 1));
+        if (pairs.count() > 0 && !name.equals("seed")) {
             System.out.printf(java.util.Locale.ROOT, "%-22s %12.3f %12.3f %+12.3f %10.3f%n", name,
-                sumA / count,
-                sumB / count, mean, noise);
+                pairs.meanA(), pairs.meanB(), pairs.difference(), pairs.noise());
         }
     }
 
--- a/lab/src/main/java/basaltlever/lab/Main.java
+++ b/lab/src/main/java/basaltlever/lab/Main.java
@@ -32,12 +32,14 @@
         Run run = new Run();
         Scenarios list = new Scenarios();
         Compare compare = new Compare();
+        PairedPlays pairedPlays = new PairedPlays();
         Demo demo = new Demo();
         BareRelay bare = new BareRelay();
         JCommander line = JCommander.newBuilder().programName("basaltlever-lab")
             .addCommand("kill-state", killState).addCommand("write-views", writer)
             .addCommand("restart-paired", restartPaired).addCommand("view-cost", viewCost)
             .addCommand("run", run).addCommand("list", list).addCommand("compare", compare)
+            .addCommand("paired-plays", pairedPlays)
             .addCommand("demo", demo).addCommand("bare", bare)
             .addCommand("help", new Help()).build();
         try {
@@ -55,6 +57,7 @@
             case "run" -> System.exit(run.run());
             case "list" -> list.run();
             case "compare" -> System.exit(compare.run());
+            case "paired-plays" -> System.exit(pairedPlays.run());
             case "bare" -> basaltlever.lab.sockets.Bare.run(bare.port, bare.to);
             case "demo" -> System.exit(demo.run());
             case "help" -> line.usage();
--- /dev/null
+++ b/router/src/main/java/basaltlever/agree/Follower.java
@@ -0,0 +1,93 @@
+package basaltlever.agree;
+
+import basaltlever.time.Moment;
+import java.util.ArrayDeque;
+
+/**
+ * Which versions one router keeps to, and for how long. A lease counts from the sending of the beat that it
+ * answers, on this router's own steady clock, so it ends here before its leader counts it as over. Whoever
+ * was stopped, or cut off, finds its lease over before its next act and keeps to what no version could
+ * forbid until a grant says which holds.
+ */
+public final class Follower {
+    /** Beats without an answer that are remembered: an answer to an older one is worth nothing any more. */
+    private static final int MOST_OUT = 64;
+
+    private record Beat(long number, Moment sent) { }
+
+    private final ArrayDeque<Beat> out = new ArrayDeque<>();
+    private long beats;
+    private Moment leaseEnds = Moment.LONG_AGO;
+    private Version inForce;
+    private Version prepared;
+    private boolean careful = true;
+
+    /** Before the first grant nothing is known to hold. */
+    public Follower() {
+    }
+
+    /** Number of a beat that is sent now. */
+    public long beat(Moment now) {
+        out.addLast(new Beat(++beats, now));
+        if (out.size() > MOST_OUT) {
+            out.removeFirst();
+        }
+        return beats;
+    }
+
+    /** True where what it keeps to is another than before. */
+    public boolean granted(Moment now, Grant grant) {
+        Moment sent = null;
+        while (!out.isEmpty() && out.peekFirst().number() <= grant.beat()) {
+            Beat beat = out.removeFirst();
+            sent = beat.number() == grant.beat() ? beat.sent() : sent;
+        }
+        if (sent == null || inForce != null && grant.inForce().number() < inForce.number()) {
+            // Repeated, overtaken, or by someone who does not know yet what is in force.
+            return false;
+        }
+        boolean differs = inForce == null || inForce.number() != grant.inForce().number()
+            || number(prepared) != number(grant.prepared());
+        inForce = grant.inForce();
+        prepared = grant.prepared();
+        leaseEnds = leaseEnds.later(sent.plus(grant.lasts()));
+        boolean was = careful;
+        careful = !now.isBefore(leaseEnds);
+        return differs || was != careful;
+    }
+
+    /** To be asked before every act: true where its lease has ended since it was asked last. */
+    public boolean hasJustEnded(Moment now) {
+        boolean ends = !careful && !now.isBefore(leaseEnds);
+        careful |= ends;
+        return ends;
+    }
+
+    private static long number(Version version) {
+        return version == null ? 0 : version.number();
+    }
+
+    /** Whether it keeps to what no version could forbid. */
+    public boolean isCareful() {
+        return careful;
+    }
+
+    public Moment leaseEnds() {
+        return leaseEnds;
+    }
+
+    /** Null before the first grant. */
+    public Version inForce() {
+        return inForce;
+    }
+
+    /** The version on its way, to which it keeps as well; null where there is none. */
+    public Version prepared() {
+        return prepared;
+    }
+
+    /** What is acknowledged with the next beat: the version on its way that this router keeps to by now. */
+    public long keepsTo() {
+        return careful ? 0 : number(prepared);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/basaltlever/agree/Grant.java
@@ -0,0 +1,14 @@
+package basaltlever.agree;
+
+import basaltlever.time.Span;
+
+/**
+ * A leader's answer to one beat.
+ *
+ * @param beat number of the beat that it answers
+ * @param lasts from the beat's sending on, by the router's own clock; none where no lease is given
+ * @param inForce the version in force
+ * @param prepared the version on its way, or null
+ */
+public record Grant(long beat, Span lasts, Version inForce, Version prepared) {
+}
--- /dev/null
+++ b/router/src/test/java/basaltlever/agree/AgreementTest.java
@@ -0,0 +1,290 @@
+package basaltlever.agree;
+
+import static basaltlever.StandIn.check;
+
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+
+/**
+ * Leases and versions in virtual time: routers whose clocks drift, messages that are lost, late, repeated and
+ * overtake each other, processes that stop and go on, leaders that are replaced with and without knowing it.
+ * The engine is stood in for by one register, the order of elections, and the rule that an old leader's
+ * commands are taken no more once another was elected. After each step no two routers may act on versions of
+ * which neither keeps to what the other holds.
+ */
+class AgreementTest {
+    private static final Span LEASE = Span.ofMillis(400);
+    private static final double DRIFT = 0.02;
+
+    private enum Bug { NONE, NO_LEASE, STOPPED_CLOCK, EARLY, UNCONFIRMED, OLDER_TAKEN, SHARES }
+
+    private record Due(long at, long order, Runnable what) { }
+
+    private static final class Router {
+        Follower follower = new Follower();
+        long incarnation = 1;
+        double speed;
+        long offset;
+        long stoppedUntil;
+        long stoppedFor;
+        boolean cut;
+        int leader;
+    }
+
+    private static final class Leader {
+        Leases leases = new Leases(LEASE, DRIFT);
+        double speed;
+        long offset;
+        long term;
+        boolean cut;
+    }
+
+    private static final class Run {
+        final SplittableRandom chance;
+        final Bug bug;
+        final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::at)
+            .thenComparingLong(Due::order));
+        final List<Router> routers = new ArrayList<>();
+        final Leader[] leaders = new Leader[3];
+        final Register register = new Register();
+        long now;
+        long orders;
+        long term;
+        int leads;
+        int inForce;
+        String broken = "";
+
+        Run(long seed, Bug bug, int count) {
+            chance = new SplittableRandom(seed);
+            this.bug = bug;
+            for (int i = 0; i < count; i++) {
+                Router router = new Router();
+                router.speed = 1 + DRIFT / 2 * (2 * chance.nextDouble() - 1);
+                router.offset = chance.nextInt(1_000_000);
+                routers.add(router);
+                int number = i;
+                after(chance.nextInt(100_000), () -> beats(number));
+            }
+            for (int i = 0; i < 3; i++) {
+                leaders[i] = new Leader();
+                leaders[i].speed = 1 + DRIFT / 2 * (2 * chance.nextDouble() - 1);
+                leaders[i].offset = chance.nextInt(1_000_000);
+                int number = i;
+                after(1_000 + i, () -> leads(number));
+            }
+            elects(0);
+            after(300_000, this::proposes);
+            after(200_000, this::faults);
+        }
+
+        void after(long micros, Runnable what) {
+            due.add(new Due(now + micros, orders++, what));
+        }
+
+        /** Lost, late, repeated. */
+        void sends(boolean cut, Runnable what) {
+            for (int copies = chance.nextInt(20) == 0 ? 2 : 1; copies > 0; copies--) {
+                if (!cut && chance.nextInt(20) > 0) {
+                    after(200 + (long) (chance.nextInt(10) == 0 ? chance.nextInt(300_000)
+                        : chance.nextInt(5_000)), what);
+                }
+            }
+        }
+
+        Moment clock(Router router) {
+            long at = bug == Bug.STOPPED_CLOCK ? now - router.stoppedFor : now;
+            return new Moment(router.offset + (long) (at * router.speed));
+        }
+
+        Moment clock(Leader leader) {
+            return new Moment(leader.offset + (long) (now * leader.speed));
+        }
+
+        void elects(int number) {
+            term++;
+            leads = number;
+            leaders[number].term = term;
+            leaders[number].leases.elected(clock(leaders[number]));
+        }
+
+        void beats(int number) {
+            Router router = routers.get(number);
+            after(80_000 + chance.nextInt(40_000), () -> beats(number));
+            if (now < router.stoppedUntil) {
+                return;
+            }
+            router.follower.hasJustEnded(clock(router));
+            long beat = router.follower.beat(clock(router));
+            long force = router.follower.inForce() == null ? 0 : router.follower.inForce().number();
+            long keeps = router.follower.keepsTo();
+            long incarnation = router.incarnation;
+            boolean holds = !router.follower.isCareful();
+            Leader leader = leaders[router.leader];
+            // It goes on to the leader that it last heard of, which may have been replaced.
+            router.leader = chance.nextInt(12) == 0 ? leads : router.leader;
+            sends(router.cut, () -> {
+                if (leader.term > 0) {
+                    Grant grant = leader.leases.beat(clock(leader), "r" + number, incarnation, beat, force,
+                        keeps, 0, "", holds, register);
+                    Span lasts = bug == Bug.NO_LEASE ? Span.ofMillis(3_600_000) : grant.lasts();
+                    sends(router.cut, () -> {
+                        if (now >= router.stoppedUntil && router.incarnation == incarnation) {
+                            router.follower.granted(clock(router), new Grant(beat, lasts, grant.inForce(),
+                                grant.prepared()));
+                        }
+                    });
+                }
+            });
+        }
+
+        /** A leader's own doings, whether or not it has been replaced. */
+        void leads(int number) {
+            Leader leader = leaders[number];
+            after(40_000 + chance.nextInt(20_000), () -> leads(number));
+            if (leader.term == 0 || leader.term < term && bug != Bug.UNCONFIRMED) {
+                return;
+            }
+            Moment sent = clock(leader);
+            if (leader.cut && bug != Bug.UNCONFIRMED) {
+                return;
+            }
+            after(3_000, () -> {
+                if (leader.term == term || bug == Bug.UNCONFIRMED) {
+                    leader.leases.confirmed(sent);
+                }
+            });
+            if (leader.term != term) {
+                return;
+            }
+            Leases.Step step = leader.leases.next(clock(leader), register);
+            Version prepared = register.prepared();
+            if (bug == Bug.EARLY && prepared != null) {
+                step = new Leases.Step(Leases.Step.Kind.BRING_INTO_FORCE, prepared.number(), "", 0);
+            }
+            switch (step.kind()) {
+                case BRING_INTO_FORCE -> inForce += register.bringIntoForce(step.number()) ? 1 : 0;
+                case WITHDRAW -> register.withdraw(step.number(), step.reason());
+                case COUNT_ROUTERS -> register.propose(step.number(), register.inForce().text(),
+                    step.routers(), "fleet", "", 0);
+                default -> { }
+            }
+        }
+
+        void proposes() {
+            after(300_000 + chance.nextInt(500_000), this::proposes);
+            register.propose(register.inForce().number(), "v" + orders, register.inForce().routers(), "o", "", 0);
+        }
+
+        void faults() {
+            after(100_000 + chance.nextInt(300_000), this::faults);
+            Router router = routers.get(chance.nextInt(routers.size()));
+            switch (chance.nextInt(5)) {
+                case 0 -> {
+                    long lasts = 100_000 + chance.nextInt(1_500_000);
+                    router.stoppedUntil = Math.max(router.stoppedUntil, now + lasts);
+                    router.stoppedFor += lasts;
+                }
+                case 1 -> {
+                    router.cut = true;
+                    after(chance.nextInt(1_500_000), () -> router.cut = false);
+                }
+                case 2 -> {
+                    router.incarnation++;
+                    router.follower = new Follower();
+                }
+                case 3 -> {
+                    // Cut from the majority, it does not hear that another was elected.
+                    Leader old = leaders[leads];
+                    old.cut = true;
+                    after(200_000 + chance.nextInt(600_000), () -> elects((leads + 1) % 3));
+                    after(2_000_000, () -> old.cut = false);
+                }
+                default -> { }
+            }
+            if (bug == Bug.OLDER_TAKEN && router.follower.inForce() != null) {
+                // As if a follower took any grant, however old what it names.
+                router.follower = new Follower();
+                long beat = router.follower.beat(clock(router));
+                router.follower.granted(clock(router), new Grant(beat, LEASE, new Version(0, "", 99, "", "", 0),
+                    null));
+            }
+        }
+
+        /** Versions that a router may act on as if they held alone: none while it is careful. */
+        private static boolean contradict(Router a, Router b) {
+            Follower one = a.follower;
+            Follower two = b.follower;
+            long force = one.inForce().number();
+            long other = two.inForce().number();
+            boolean sees = force == other || one.prepared() != null && one.prepared().number() == other
+                || two.prepared() != null && two.prepared().number() == force;
+            return !sees;
+        }
+
+        void check() {
+            List<Router> acting = new ArrayList<>();
+            for (Router router : routers) {
+                if (now >= router.stoppedUntil) {
+                    router.follower.hasJustEnded(clock(router));
+                    if (!router.follower.isCareful()) {
+                        acting.add(router);
+                    }
+                }
+            }
+            double shares = 0;
+            for (Router one : acting) {
+                Version prepared = one.follower.prepared();
+                int by = Math.max(one.follower.inForce().routers(), prepared == null ? 0 : prepared.routers());
+                shares += 1.0 / (bug == Bug.SHARES ? one.follower.inForce().routers() - 1.5 : by);
+                for (Router other : acting) {
+                    if (contradict(one, other)) {
+                        broken = "contradiction at " + now + " us: " + one.follower.inForce().number() + " and "
+                            + other.follower.inForce().number();
+                    }
+                }
+            }
+            if (shares > 1 + 1e-9 && broken.isEmpty()) {
+                broken = "shares sum to " + shares + " at " + now + " us";
+            }
+        }
+
+        String play(long until) {
+            while (broken.isEmpty() && now < until) {
+                Due next = due.poll();
+                now = next.at();
+                next.what().run();
+                check();
+            }
+            return broken;
+        }
+    }
+
+    @Example
+    void noTwoRoutersEverActOnContradictingVersions() {
+        int inForce = 0;
+        for (int seed = 0; seed < 150; seed++) {
+            Run run = new Run(seed, Bug.NONE, 3 + seed % 10);
+            String broken = run.play(12_000_000);
+            check(broken.isEmpty(), "seed " + seed + ": " + broken);
+            inForce += run.inForce;
+        }
+        check(inForce > 500, "versions come into force all the same: " + inForce);
+    }
+
+    @Example
+    void plantedBugsAreFound() {
+        for (Bug bug : Bug.values()) {
+            boolean found = bug == Bug.NONE;
+            for (int seed = 0; seed < 60 && !found; seed++) {
+                found = !new Run(seed, bug, 6).play(12_000_000).isEmpty();
+            }
+            check(found, bug + " was not found");
+        }
+    }
+}
