--- a/lab/src/main/java/basaltlever/lab/Run.java
+++ b/lab/src/main/java/basaltlever/lab/Run.java
@@ -1,6 +1,7 @@
 package basaltlever.lab;
 
 import basaltlever.config.StartFault;
+import basaltlever.lab.fleet.AgreementRun;
 import basaltlever.lab.report.Report;
 import basaltlever.lab.scenario.Scenario;
 import basaltlever.lab.sockets.SocketRun;
@@ -83,6 +84,11 @@
             } catch (StartFault fault) {
                 throw new IllegalStateException(fault);
             }
+        } else if (scenario.count("voters") > 0) {
+            try (AgreementRun run = new AgreementRun(scenario, own, jar, operatorText(scenario.changes))) {
+                figures.putAll(run.play());
+                world = run.world();
+            }
         } else {
             try (SocketRun run = new SocketRun(scenario, own, jar, operatorText(scenario.changes))) {
                 figures.putAll(run.play());
--- /dev/null
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -0,0 +1,341 @@
+package basaltlever.lab.fleet;
+
+import basaltlever.fleet.Call;
+import basaltlever.fleet.Message;
+import basaltlever.lab.scenario.Scenario;
+import basaltlever.lab.sockets.RouterProcess;
+import basaltlever.lab.sockets.SocketRun;
+import basaltlever.lab.world.Ask;
+import basaltlever.lab.world.World;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Router processes that agree on versions of their settings, while they are stopped, ended and cut from their
+ * voters. Every other version allows one execution of a statement, the others allow four: so a server sees
+ * who acts on which. What is judged is when second executions reached servers (the ledger), beside when the
+ * operator's command was told that a version is in force, and when the next was proposed.
+ */
+public final class AgreementRun implements AutoCloseable {
+    private static final String FLEET = "lab";
+    private static final int BAD_EVERY = 4;
+    /** After a stop a process first does what had come meanwhile. */
+    private static final Span WAKES = Span.ofMillis(250);
+
+    /** While a version was in force and no other proposed by which nothing runs twice; or a process stopped. */
+    private record Strict(Moment from, Moment to) { }
+
+    private final Scenario scenario;
+    private final SplittableRandom chance;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+        NioIoHandler.newFactory());
+    private final int voters;
+    private final List<InetSocketAddress> places = new ArrayList<>();
+    private final List<List<Bridge>> bridges = new ArrayList<>();
+    private final Map<Integer, List<Strict>> stopped = new ConcurrentHashMap<>();
+    private final List<Strict> stricts = new ArrayList<>();
+    private final SocketRun run;
+    private final Span lease;
+    private final Span stated;
+    private volatile boolean over;
+    private int inForce;
+    private int refused;
+    private int wronglyTaken;
+    private int undecided;
+    private int stops;
+    private int cuts;
+    private long slowestMillis;
+    private String unnamed = "";
+
+    public AgreementRun(Scenario scenario, long seed, Path jar, String operator) throws Exception {
+        this.scenario = scenario;
+        chance = new SplittableRandom(seed ^ 0x5DEECE66DL);
+        voters = scenario.count("voters");
+        lease = scenario.span("lease_ms");
+        stated = scenario.span("stated_ms");
+        List<Integer> engines = new ArrayList<>();
+        for (int r = 0; r < scenario.count("routers"); r++) {
+            places.add(new InetSocketAddress("127.0.0.1", RouterProcess.freePort()));
+        }
+        for (int v = 0; v < voters; v++) {
+            engines.add(enginePort());
+        }
+        for (int r = 0; r < places.size(); r++) {
+            bridges.add(new ArrayList<>());
+            for (int v = 0; v < voters; v++) {
+                bridges.get(r).add(new Bridge(group.next(), places.get(v)));
+            }
+        }
+        try {
+            run = new SocketRun(scenario, seed, jar, router -> operator + text(router, engines), 0);
+        } catch (Exception fault) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw fault;
+        }
+    }
+
+    /** The engine's detector listens 1,000 above it. */
+    private static int enginePort() throws IOException {
+        for (int port = RouterProcess.freePort();; port = RouterProcess.freePort()) {
+            if (port < 64_000) {
+                return port;
+            }
+        }
+    }
+
+    /** A router meets the voters over its own bridges; a voter listens at its own place. */
+    private String text(int router, List<Integer> engines) {
+        List<String> peers = new ArrayList<>();
+        List<String> voting = new ArrayList<>();
+        for (int r = 0; r < places.size(); r++) {
+            InetSocketAddress at = r < voters && r != router ? bridges.get(router).get(r).address()
+                : places.get(r);
+            peers.add("n" + (r + 1) + "@127.0.0.1:" + at.getPort());
+            if (r < voters) {
+                voting.add("n" + (r + 1) + "@127.0.0.1:" + engines.get(r));
+            }
+        }
+        return "[fleet]\nname = " + FLEET + "\npeers = " + String.join(",", peers) + "\nvoters = "
+            + String.join(",", voting) + "\nfolder = {folder}/vote\nlease_ms = " + lease.micros() / 1_000
+            + "\nstated_ms = " + stated.micros() / 1_000 + "\n";
+    }
+
+    public World world() {
+        return run.world();
+    }
+
+    public List<RouterProcess> routers() {
+        return run.routers();
+    }
+
+    /** Plays it to its end; the figures hold those of any run, and what became of the versions. */
+    public Map<String, Object> play() throws Exception {
+        run.loop().submit(() -> run.world().ledger.excuses(this::wasStopped)).get();
+        Thread operator = new Thread(this::operate, "operator");
+        Thread trouble = new Thread(this::trouble, "trouble");
+        operator.setDaemon(true);
+        trouble.setDaemon(true);
+        operator.start();
+        trouble.start();
+        Map<String, Object> figures = run.play();
+        over = true;
+        operator.join(20_000);
+        trouble.join(5_000);
+        List<Moment> repeats = run.loop().submit(() -> List.copyOf(run.world().ledger.repeats())).get();
+        long longest = 0;
+        int beyond = 0;
+        int within = 0;
+        for (Moment repeat : repeats) {
+            for (Strict strict : stricts) {
+                if (repeat.isAfter(strict.from) && repeat.isBefore(strict.to)) {
+                    Span late = repeat.since(strict.from);
+                    longest = Math.max(longest, late.micros() / 1_000);
+                    beyond += late.isLongerThan(stated) ? 1 : 0;
+                    within++;
+                }
+            }
+        }
+        figures.put("versions", inForce);
+        figures.put("refused", refused);
+        figures.put("wrongly_taken", wronglyTaken);
+        figures.put("undecided", undecided);
+        figures.put("bad_unnamed", unnamed.isEmpty() ? 0 : 1);
+        figures.put("in_force_ms_most", slowestMillis);
+        figures.put("repeats", repeats.size());
+        figures.put("contradictions", within);
+        figures.put("contradictions_beyond", beyond);
+        figures.put("contradiction_max_ms", longest);
+        figures.put("stops", stops);
+        figures.put("cuts", cuts);
+        return figures;
+    }
+
+    private boolean wasStopped(Ask ask) {
+        return stopped.getOrDefault(ask.router, List.of()).stream()
+            .anyMatch(stop -> !ask.leaves.isBefore(stop.from) && !ask.due.isAfter(stop.to));
+    }
+
+    private Moment now() {
+        return run.world().now();
+    }
+
+    // ---- The operator.
+
+    private void operate() {
+        boolean strict = true;
+        Moment strictFrom = null;
+        try {
+            awaitStart();
+            for (int n = 1; !over; n++) {
+                Thread.sleep((long) scenario.number("version_ms"));
+                if (n % BAD_EVERY == 0) {
+                    bad(n);
+                    continue;
+                }
+                long since = System.nanoTime();
+                if (strictFrom != null) {
+                    stricts.add(new Strict(strictFrom, now()));
+                    strictFrom = null;
+                }
+                String end = propose(content(strict), "version " + n);
+                slowestMillis = Math.max(slowestMillis, (System.nanoTime() - since) / 1_000_000);
+                if (end.equals("IN_FORCE")) {
+                    inForce++;
+                    strictFrom = strict ? now() : null;
+                    strict = !strict;
+                } else {
+                    undecided++;
+                }
+            }
+            if (strictFrom != null) {
+                stricts.add(new Strict(strictFrom, now()));
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void awaitStart() throws InterruptedException {
+        while (!over && leader() == null) {
+            Thread.sleep(100);
+        }
+    }
+
+    private String content(boolean strict) {
+        String text = scenario.settings();
+        return strict ? text.replaceFirst("\"MaxAttempts\":[0-9]+", "\"MaxAttempts\":1")
+            .replaceFirst("\"MayDuplicate\":true", "\"MayDuplicate\":false") : text;
+    }
+
+    /** One that must be refused by name: writes as reads, repeats of what runs once, weights of nothing. */
+    private void bad(int n) throws InterruptedException {
+        String[][] wrongs = {
+            {"\"Worth\":[0-9.]+", "\"Worth\":0", "Worth"},
+            {"\"Repeat\":\"at_most_once\"", "\"Repeat\":\"idempotent\"", "Repeat"},
+            {"\"ClassRead\":\\[\"write\"", "\"ClassRead\":[\"any\"", "ClassRead"},
+            {"\"MaxAttempts\":[0-9]+", "\"MaxAttempts\":0", "MaxAttempts"},
+        };
+        String[] wrong = wrongs[n / BAD_EVERY % wrongs.length];
+        String end = propose(content(false).replaceAll(wrong[0], wrong[1]), "bad " + n);
+        if (end.equals("IN_FORCE")) {
+            wronglyTaken++;
+        } else if (end.contains(wrong[2])) {
+            refused++;
+        } else {
+            unnamed = end;
+        }
+    }
+
+    private Map<String, Object> ask(int voter, Map<String, Object> message) {
+        try {
+            return Call.ask(places.get(voter), message);
+        } catch (IOException silent) {
+            return Map.of();
+        }
+    }
+
+    private Integer leader() {
+        for (int v = 0; v < voters; v++) {
+            if (Message.flag(ask(v, Map.of("do", "status", "fleet", FLEET)), "leads")) {
+                return v;
+            }
+        }
+        return null;
+    }
+
+    /** IN_FORCE, or why not; asked again for as long as nobody can tell. */
+    private String propose(String text, String why) throws InterruptedException {
+        long until = System.nanoTime() + 12_000_000_000L;
+        String last = "nobody leads";
+        while (System.nanoTime() < until) {
+            Integer leader = leader();
+            Map<String, Object> told = leader == null ? Map.of() : ask(leader, Map.of("do", "status", "fleet",
+                FLEET));
+            String end = end(told, why);
+            if (!end.isEmpty()) {
+                return end;
+            }
+            if (told.get("force") instanceof Map<?, ?> force && told.get("prepared") == null) {
+                Map<String, Object> command = new LinkedHashMap<>(Map.of("do", "propose", "fleet", FLEET, "text",
+                    text, "who", "operator", "why", why));
+                command.put("number", Message.number(force, "number"));
+                last = Message.text(ask(leader, command), "why");
+            }
+            Thread.sleep(15);
+        }
+        return last;
+    }
+
+    private static String end(Map<String, Object> told, String why) {
+        if (told.get("history") instanceof List<?> lines) {
+            for (Object line : lines) {
+                Map<?, ?> chapter = (Map<?, ?>) line;
+                if (Message.text(chapter, "why").equals(why) && !Message.text(chapter, "end").equals("REFUSED")) {
+                    return Message.text(chapter, "end") + (Message.text(chapter, "reason").isEmpty() ? ""
+                        : ": " + Message.text(chapter, "reason"));
+                }
+            }
+        }
+        return "";
+    }
+
+    // ---- What goes wrong among the processes.
+
+    private void trouble() {
+        long pause = (long) scenario.number("stops_ms");
+        try {
+            while (!over && pause > 0) {
+                Thread.sleep((long) (pause * (0.5 + chance.nextDouble())));
+                int router = chance.nextInt(places.size());
+                long lasts = lease.micros() / 1_000 / 2 + chance.nextInt((int) (lease.micros() / 250));
+                if (chance.nextInt(2) == 0) {
+                    stops++;
+                    Moment from = now();
+                    stopped.computeIfAbsent(router, r -> new CopyOnWriteArrayList<>()).add(new Strict(from,
+                        from.plus(Span.ofMillis(lasts)).plus(WAKES)));
+                    signal(router, "STOP");
+                    Thread.sleep(lasts);
+                    signal(router, "CONT");
+                } else {
+                    cuts++;
+                    Bridge.State[] states = Bridge.State.values();
+                    Bridge.State state = states[1 + chance.nextInt(states.length - 1)];
+                    bridges.get(router).forEach(bridge -> bridge.is(state));
+                    group.next().schedule(() -> bridges.get(router).forEach(bridge -> bridge.is(
+                        Bridge.State.OPEN)), 2 * lasts, TimeUnit.MILLISECONDS);
+                }
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        } catch (IOException fault) {
+            throw new IllegalStateException(fault);
+        }
+    }
+
+    private void signal(int router, String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, "" + run.routers().get(router).process().pid()).start().waitFor();
+    }
+
+    @Override
+    public void close() throws Exception {
+        over = true;
+        for (int r = 0; r < places.size(); r++) {
+            signal(r, "CONT");
+        }
+        run.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    }
+}
--- a/router/src/main/java/basaltlever/agree/Follower.java
+++ b/router/src/main/java/basaltlever/agree/Follower.java
@@ -56,9 +56,14 @@
         return differs || was != careful;
     }
 
+    /** Whether its lease has ended unnoticed: nothing may be done that was decided under it. */
+    public boolean isOver(Moment now) {
+        return !careful && !now.isBefore(leaseEnds);
+    }
+
     /** To be asked before every act: true where its lease has ended since it was asked last. */
     public boolean hasJustEnded(Moment now) {
-        boolean ends = !careful && !now.isBefore(leaseEnds);
+        boolean ends = isOver(now);
         careful |= ends;
         return ends;
     }
--- a/router/src/main/java/basaltlever/agree/Leases.java
+++ b/router/src/main/java/basaltlever/agree/Leases.java
@@ -133,8 +133,10 @@
                     return new Step(Step.Kind.WITHDRAW, prepared.number(), peer.name + ": " + peer.refusal, 0);
                 }
             }
+            // Somebody has to have checked it: with nobody there, a version that none can hold came into force.
             boolean all = !now.isBefore(quietUntil) && peers.values().stream()
-                .allMatch(peer -> !isLive(peer, now) || peer.keepsTo == prepared.number());
+                .allMatch(peer -> !isLive(peer, now) || peer.keepsTo == prepared.number())
+                && peers.values().stream().anyMatch(peer -> isLive(peer, now));
             return all ? new Step(Step.Kind.BRING_INTO_FORCE, prepared.number(), "", 0) : Step.NOTHING;
         }
         int wanted = (int) peers.values().stream().filter(peer -> isLive(peer, now) || isHeard(peer, now))
--- a/router/src/main/java/basaltlever/agree/Register.java
+++ b/router/src/main/java/basaltlever/agree/Register.java
@@ -13,7 +13,7 @@
 public final class Register {
     private static final int MOST_HISTORY = 200;
     /** Settings, as bytes of text at most. */
-    public static final int LARGEST = 256 * 1024;
+    public static final int LARGEST = 128 * 1024;
 
     /** What became of a version. */
     public enum End { IN_FORCE, WITHDRAWN, REFUSED }
--- /dev/null
+++ b/router/src/main/java/basaltlever/cli/FleetCommand.java
@@ -0,0 +1,327 @@
+package basaltlever.cli;
+
+import basaltlever.config.OperatorFile;
+import basaltlever.config.StartFault;
+import basaltlever.config.Terms;
+import basaltlever.fleet.Call;
+import basaltlever.fleet.Message;
+import basaltlever.json.Json;
+import basaltlever.json.JsonFault;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+/** Versions of a fleet's settings, and who is there: what the voters tell, by the operator's file. */
+final class FleetCommand {
+    private static final int MISUSED = 2;
+    private static final int REFUSED = 1;
+    private static final long LOOKS_MILLIS = 50;
+
+    private static class Where {
+        @Parameter(names = "--operator", description = "the operator's file, with [fleet]", required = true)
+        String operator;
+        @Parameter(names = "--json", description = "one JSON object")
+        boolean json;
+    }
+
+    @Parameters(commandDescription = "Proposes the settings of a file, and waits for what becomes of them")
+    private static class Propose extends Where {
+        @Parameter(description = "FILE", required = true)
+        List<String> files = new ArrayList<>();
+        @Parameter(names = "--who", description = "who proposes it")
+        String who = System.getProperty("user.name");
+        @Parameter(names = "--why", description = "one sentence for the history", required = true)
+        String why;
+        @Parameter(names = "--basis", description = "the version in force that it was made from; now's if left")
+        long basis = -1;
+        @Parameter(names = "--wait-ms", description = "how long to wait for its end")
+        long waitMillis = 15_000;
+    }
+
+    @Parameters(commandDescription = "Proposes the content of an earlier version as a new one")
+    private static final class Revert extends Propose {
+    }
+
+    @Parameters(commandDescription = "Shows the version in force and the one on its way")
+    private static final class Status extends Where {
+    }
+
+    @Parameters(commandDescription = "Shows what became of the latest versions")
+    private static final class History extends Where {
+    }
+
+    @Parameters(commandDescription = "Shows who is there, each one's version and lease")
+    private static final class Peers extends Where {
+    }
+
+    /** Told to the user as it is. */
+    private static final class Refusal extends Exception {
+        private static final long serialVersionUID = 1L;
+        private final int code;
+
+        Refusal(int code, String why) {
+            super(why);
+            this.code = code;
+        }
+    }
+
+    private final Propose propose = new Propose();
+    private final Revert revert = new Revert();
+    private final Status status = new Status();
+    private final History history = new History();
+    private final Peers peers = new Peers();
+    private JCommander settings;
+    private JCommander fleet;
+
+    void joins(JCommander main) {
+        settings = main.getCommands().get("settings");
+        settings.addCommand("propose", propose);
+        settings.addCommand("revert", revert);
+        settings.addCommand("status", status);
+        settings.addCommand("history", history);
+        fleet = main.getCommands().get("fleet");
+        fleet.addCommand("status", peers);
+    }
+
+    int run(String of, PrintStream out, PrintStream err) {
+        String command = (of.equals("fleet") ? fleet : settings).getParsedCommand();
+        try {
+            if (command == null) {
+                throw new Refusal(MISUSED, of.equals("fleet") ? "fleet takes status"
+                    : "settings takes propose, revert, status or history");
+            }
+            if (of.equals("fleet")) {
+                tellPeers(out);
+            } else {
+                switch (command) {
+                    case "propose" -> propose(out, propose, content(propose.files));
+                    case "revert" -> propose(out, revert, earlier());
+                    case "status" -> tellStatus(out);
+                    default -> tellHistory(out);
+                }
+            }
+            return 0;
+        } catch (Refusal refusal) {
+            err.println("basaltlever: " + refusal.getMessage());
+            return refusal.code;
+        } catch (StartFault fault) {
+            err.println("basaltlever: " + fault.getMessage().replace("\n", "\nbasaltlever: "));
+            return MISUSED;
+        } catch (IOException fault) {
+            err.println("basaltlever: " + fault.getMessage());
+            return REFUSED;
+        } catch (InterruptedException ended) {
+            return REFUSED;
+        }
+    }
+
+    private static Terms terms(Where where) throws StartFault, Refusal {
+        Terms terms = OperatorFile.read(Path.of(where.operator)).fleet();
+        if (terms == null) {
+            throw new Refusal(MISUSED, where.operator + ": [fleet] name is empty, so there is no fleet");
+        }
+        return terms;
+    }
+
+    /** What the leading voter tells; where none leads, what any tells. */
+    private static Map<String, Object> told(Terms terms) throws Refusal {
+        Map<String, Object> any = null;
+        for (String voter : terms.voters().keySet()) {
+            try {
+                Map<String, Object> told = Call.ask(terms.peers().get(voter), Map.of("do", "status", "fleet",
+                    terms.name()));
+                if (Message.text(told, "do").equals("refused")) {
+                    throw new Refusal(REFUSED, voter + ": " + Message.text(told, "why"));
+                }
+                told.put("voter", voter);
+                if (Message.flag(told, "leads")) {
+                    return told;
+                }
+                any = told;
+            } catch (IOException silent) {
+                // Another may answer.
+            }
+        }
+        if (any == null) {
+            throw new Refusal(REFUSED, "no voter of fleet " + terms.name() + " answers");
+        }
+        return any;
+    }
+
+    private static String content(List<String> files) throws Refusal, IOException {
+        if (files.size() != 1) {
+            throw new Refusal(MISUSED, "propose takes one file");
+        }
+        String file = files.get(0);
+        try {
+            String text = Files.readString(Path.of(file));
+            if (!(Json.read(text) instanceof Map<?, ?> tree)) {
+                throw new Refusal(MISUSED, file + " is no JSON object");
+            }
+            // A whole start file is taken for its settings.
+            return json(tree.get("settings") instanceof Map<?, ?> settings ? settings : tree);
+        } catch (JsonFault fault) {
+            throw new Refusal(MISUSED, file + " is no JSON: " + fault.getMessage());
+        } catch (java.nio.file.NoSuchFileException missing) {
+            throw new Refusal(MISUSED, file + " is missing");
+        }
+    }
+
+    private String earlier() throws Refusal, StartFault {
+        long number;
+        try {
+            number = Long.parseLong(revert.files.get(0));
+        } catch (RuntimeException fault) {
+            throw new Refusal(MISUSED, "revert takes the number of a version");
+        }
+        if (number == 0) {
+            return "";
+        }
+        for (Object line : (List<?>) told(terms(revert)).get("history")) {
+            Map<?, ?> chapter = (Map<?, ?>) line;
+            if (Message.number(chapter, "number") == number && Message.text(chapter, "end").equals("IN_FORCE")) {
+                return Message.text(chapter, "text");
+            }
+        }
+        throw new Refusal(REFUSED, "version " + number + " was never in force, or is not remembered any more");
+    }
+
+    private void propose(PrintStream out, Propose of, String text) throws Refusal, StartFault, IOException,
+        InterruptedException {
+        Terms terms = terms(of);
+        Map<String, Object> before = told(terms);
+        long basis = of.basis >= 0 ? of.basis : Message.number((Map<?, ?>) before.get("force"), "number");
+        Map<String, Object> command = new LinkedHashMap<>();
+        command.put("do", "propose");
+        command.put("fleet", terms.name());
+        command.put("number", basis);
+        command.put("text", text);
+        command.put("who", of.who);
+        command.put("why", of.why);
+        Map<String, Object> answer = Call.ask(terms.peers().get(Message.text(before, "voter")), command);
+        if (!Message.text(answer, "do").equals("taken")) {
+            throw new Refusal(REFUSED, Message.text(answer, "do") + ": " + Message.text(answer, "why"));
+        }
+        long until = System.currentTimeMillis() + of.waitMillis;
+        while (System.currentTimeMillis() < until) {
+            Map<String, Object> now = told(terms);
+            for (Object line : (List<?>) now.get("history")) {
+                Map<?, ?> chapter = (Map<?, ?>) line;
+                boolean own = Message.text(chapter, "who").equals(of.who)
+                    && Message.text(chapter, "why").equals(of.why) && Message.number(chapter, "number") > basis;
+                if (own && Message.text(chapter, "end").equals("IN_FORCE")) {
+                    tell(out, of, chapter, "version " + Message.number(chapter, "number") + " is in force");
+                    return;
+                }
+                if (own && Message.text(chapter, "end").equals("WITHDRAWN")) {
+                    throw new Refusal(REFUSED, "version " + Message.number(chapter, "number")
+                        + " was withdrawn: " + Message.text(chapter, "reason"));
+                }
+            }
+            Thread.sleep(LOOKS_MILLIS);
+        }
+        throw new Refusal(REFUSED, "it was taken, and neither came into force nor was withdrawn in "
+            + of.waitMillis + " ms: see settings status");
+    }
+
+    private static void tell(PrintStream out, Where where, Map<?, ?> json, String plain) throws IOException {
+        out.println(where.json ? json(json) : plain);
+    }
+
+    private void tellStatus(PrintStream out) throws Refusal, StartFault, IOException {
+        Map<String, Object> told = told(terms(status));
+        told.keySet().retainAll(List.of("voter", "leads", "standing", "force", "prepared"));
+        tell(out, status, told, "in force: " + line(told.get("force")) + "\non its way: "
+            + line(told.get("prepared")) + "\ntold by " + told.get("voter") + ", " + told.get("standing"));
+    }
+
+    private static String line(Object version) {
+        return version instanceof Map<?, ?> map ? Message.number(map, "number") + " by "
+            + Message.text(map, "who") + " for " + Message.number(map, "routers") + " routers: "
+            + Message.text(map, "why") : "none";
+    }
+
+    private void tellHistory(PrintStream out) throws Refusal, StartFault, IOException {
+        Map<String, Object> told = told(terms(history));
+        List<?> lines = (List<?>) told.get("history");
+        StringBuilder text = new StringBuilder();
+        for (Object line : lines) {
+            Map<?, ?> chapter = (Map<?, ?>) line;
+            text.append(text.isEmpty() ? "" : "\n").append(Message.text(chapter, "end")).append(' ')
+                .append(line(line)).append(Message.text(chapter, "reason").isEmpty() ? "" : " ("
+                    + Message.text(chapter, "reason") + ")");
+        }
+        told.keySet().retainAll(List.of("history"));
+        tell(out, history, told, text.isEmpty() ? "none was proposed yet" : text.toString());
+    }
+
+    private void tellPeers(PrintStream out) throws Refusal, StartFault, IOException {
+        Terms terms = terms(peers);
+        Map<String, Object> told = told(terms);
+        StringBuilder text = new StringBuilder("%-16s %8s %9s %9s %9s  %s".formatted("router", "version",
+            "keeps to", "lease ms", "heard ms", "turned down"));
+        Map<String, Object> seen = new TreeMap<>();
+        for (Object line : (List<?>) told.get("peers")) {
+            Map<?, ?> peer = (Map<?, ?>) line;
+            seen.put(Message.text(peer, "name"), peer);
+        }
+        for (String name : terms.peers().keySet()) {
+            Map<?, ?> peer = (Map<?, ?>) seen.get(name);
+            text.append("\n").append(peer == null ? "%-16s is not there".formatted(name)
+                : "%-16s %8d %9d %9d %9d  %s".formatted(name, Message.number(peer, "force"), Message.number(peer,
+                    "keeps"), Message.number(peer, "lease_ms"), Message.number(peer, "heard_ms_ago"),
+                    Message.text(peer, "refusal")));
+        }
+        text.append("\ntold by ").append(told.get("voter")).append(", ").append(told.get("standing"));
+        told.keySet().retainAll(List.of("voter", "leads", "standing", "peers"));
+        tell(out, peers, told, text.toString());
+    }
+
+    private static String json(Object value) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
+            write(out, value);
+        }
+        return text.toString();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Map<?, ?> members) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> member : members.entrySet()) {
+                out.writeFieldName(String.valueOf(member.getKey()));
+                write(out, member.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> items) {
+            out.writeStartArray();
+            for (Object item : items) {
+                write(out, item);
+            }
+            out.writeEndArray();
+        } else if (value instanceof java.math.BigDecimal number) {
+            out.writeNumber(number.toPlainString());
+        } else if (value instanceof Number number) {
+            out.writeNumber(number.longValue());
+        } else if (value instanceof Boolean flag) {
+            out.writeBoolean(flag);
+        } else if (value == null) {
+            out.writeNull();
+        } else {
+            out.writeString(Objects.toString(value));
+        }
+    }
+}
--- a/router/src/main/java/basaltlever/cli/Main.java
+++ b/router/src/main/java/basaltlever/cli/Main.java
@@ -68,6 +68,14 @@
     private static final class Switch {
     }
 
+    @Parameters(commandDescription = "Versions of a fleet's settings: settings propose, revert, status, history")
+    private static final class Settings {
+    }
+
+    @Parameters(commandDescription = "Who is there in a fleet: fleet status")
+    private static final class FleetOf {
+    }
+
     @Parameters(commandDescription = "Prints the version")
     private static final class Version {
     }
@@ -84,11 +92,14 @@
             .addCommand("serve", serve).addCommand("check", check).addCommand("rehearse", rehearse)
             .addCommand("adapter", new Bench())
             .addCommand("state", new State()).addCommand("switch", new Switch())
+            .addCommand("settings", new Settings()).addCommand("fleet", new FleetOf())
             .addCommand("version", new Version()).addCommand("help", new Help()).build();
         StateCommand state = new StateCommand();
         state.joins(line);
         SwitchCommand change = new SwitchCommand();
         change.joins(line);
+        FleetCommand fleet = new FleetCommand();
+        fleet.joins(line);
         try {
             line.parse(args);
         } catch (ParameterException fault) {
@@ -97,7 +108,8 @@
             System.exit(MISUSED);
         }
         String command = line.getParsedCommand();
-        boolean extra = serve.operator != null || check.operator != null || "state".equals(command);
+        boolean extra = serve.operator != null || check.operator != null || "state".equals(command)
+            || "settings".equals(command) || "fleet".equals(command);
         if (extra && !Extras.areHere()) {
             Extras.mainWith(args);
             return;
@@ -108,6 +120,7 @@
             case "rehearse" -> rehearse(rehearse.file, rehearse.workload);
             case "adapter" -> adapter();
             case "state" -> System.exit(state.run(System.out, System.err));
+            case "settings", "fleet" -> System.exit(fleet.run(command, System.out, System.err));
             case "switch" -> System.exit(change.run(System.out, System.err));
             case "version" -> System.out.println("basaltlever " + Main.class.getPackage()
                 .getImplementationVersion());
--- a/router/src/main/java/basaltlever/config/OperatorFile.java
+++ b/router/src/main/java/basaltlever/config/OperatorFile.java
@@ -3,6 +3,7 @@
 import basaltlever.time.Span;
 import java.io.IOException;
 import java.io.StringReader;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +25,7 @@
 public final class OperatorFile {
     private static final long LARGEST = 1 << 20;
     private static final int CLOSE = 3;
+    private static final int MOST_VOTERS = 7;
     private static final List<String> FORMS = List.of("plain", "json");
 
     /** Every key there is, by section.key, with the value it takes where the file has none. */
@@ -39,6 +41,8 @@
     private final String changeTable;
     private final int heldStatements;
     private final long heldBytes;
+    private final Terms fleet;
+    private final Span widestBound;
 
     private static Map<String, String> keys() {
         Map<String, String> keys = new LinkedHashMap<>();
@@ -50,6 +54,13 @@
         keys.put("change.table", "");
         keys.put("hold.statements", "0");
         keys.put("hold.kb", "8192");
+        keys.put("fleet.name", "");
+        keys.put("fleet.peers", "");
+        keys.put("fleet.voters", "");
+        keys.put("fleet.folder", "");
+        keys.put("fleet.lease_ms", "400");
+        keys.put("fleet.stated_ms", "1000");
+        keys.put("fleet.widest_bound_ms", "0");
         return keys;
     }
 
@@ -75,7 +86,7 @@
         }
         Keys keys = Keys.ofTree(above, values, faults);
         json = keys.choice("log.form", values.get("log.form"), FORMS) == 1;
-        folder = folder(keys);
+        folder = folder(keys, "state.folder");
         deployment = values.get("state.deployment");
         if (deployment.length() > 200) {
             keys.fault("state.deployment is longer than 200 characters");
@@ -84,6 +95,8 @@
         changeTable = table(keys);
         heldStatements = (int) keys.number("hold.statements", 0, 1_000_000);
         heldBytes = (long) keys.number("hold.kb", 16, 1_048_576) * 1_024;
+        fleet = fleet(keys);
+        widestBound = Span.ofMillis(keys.number("fleet.widest_bound_ms", 0, 86_400_000));
         mostBytes = (int) keys.number("state.largest_kb", 16, 16_384) * 1_024;
     }
 
@@ -97,15 +110,61 @@
         return name;
     }
 
-    private static Path folder(Keys keys) {
-        String text = keys.text("state.folder");
+    private Terms fleet(Keys keys) {
+        String name = keys.text("fleet.name");
+        Map<String, InetSocketAddress> peers = places(keys, "fleet.peers");
+        Map<String, InetSocketAddress> voters = places(keys, "fleet.voters");
+        Path place = folder(keys, "fleet.folder");
+        double lease = keys.number("fleet.lease_ms", 100, 60_000);
+        double stated = keys.number("fleet.stated_ms", 200, 600_000);
+        if (name.isEmpty()) {
+            return null;
+        }
+        if (!name.matches("[A-Za-z0-9_.-]{1,64}")) {
+            keys.fault("fleet.name can't be read: " + name + "; it takes up to 64 letters, digits, _ . and -");
+        }
+        if (voters.size() % 2 == 0 || voters.size() > MOST_VOTERS) {
+            keys.fault("fleet.voters names " + voters.size() + "; it takes 1, 3, 5 or 7, so that half is no"
+                + " majority");
+        }
+        for (String voter : voters.keySet()) {
+            if (!peers.containsKey(voter)) {
+                keys.fault("fleet.voters names " + voter + ", which fleet.peers does not");
+            }
+        }
+        if (place == null) {
+            keys.fault("fleet.folder is empty; voters keep their vote in it");
+        }
+        if (stated < 2 * lease) {
+            keys.fault("fleet.stated_ms is " + (long) stated + ", less than twice fleet.lease_ms: a lease and"
+                + " what is on its way then would not be over");
+        }
+        return new Terms(name, peers, voters, place, Span.ofMillis(lease), Span.ofMillis(stated));
+    }
+
+    private static Map<String, InetSocketAddress> places(Keys keys, String key) {
+        Map<String, InetSocketAddress> places = new LinkedHashMap<>();
+        for (String item : keys.list(key)) {
+            String[] parts = item.trim().split("@", 2);
+            InetSocketAddress at = parts.length == 2 ? Addresses.parse(parts[1]) : null;
+            if (at == null || parts[0].isEmpty() || !parts[0].matches("[A-Za-z0-9_.-]{1,64}")) {
+                keys.fault(key + " can't be read: " + item.trim() + "; it takes NAME@ADDRESS:PORT, with commas");
+            } else if (places.put(parts[0], at) != null) {
+                keys.fault(key + " names " + parts[0] + " twice");
+            }
+        }
+        return places;
+    }
+
+    private static Path folder(Keys keys, String key) {
+        String text = keys.text(key);
         if (text.isEmpty()) {
             return null;
         }
         try {
             return Path.of(text);
         } catch (java.nio.file.InvalidPathException fault) {
-            keys.fault("state.folder can't be read: " + text + "; it takes the path of a folder");
+            keys.fault(key + " can't be read: " + text + "; it takes the path of a folder");
             return null;
         }
     }
@@ -169,7 +228,7 @@
     /** The keys that differ from the other file and that a running router can't take over. */
     public List<String> restartsFor(OperatorFile other) {
         return values.keySet().stream().filter(key -> key.startsWith("log.")
-            || key.equals("state.deployment"))
+            || key.equals("state.deployment") || key.startsWith("fleet."))
             .filter(key -> !Objects.equals(values.get(key), other.values.get(key))).toList();
     }
 
@@ -211,6 +270,16 @@
         return heldBytes;
     }
 
+    /** Null where this router is of no fleet. */
+    public Terms fleet() {
+        return fleet;
+    }
+
+    /** Reads may see no older data by any version; none where no ceiling is set. */
+    public Span widestBound() {
+        return widestBound;
+    }
+
     /** Whether log lines are JSON. */
     public boolean logsJson() {
         return json;
--- a/router/src/main/java/basaltlever/config/StartFile.java
+++ b/router/src/main/java/basaltlever/config/StartFile.java
@@ -84,6 +84,42 @@
         throw new StartFault(faults);
     }
 
+    /** Of each router's own, whatever a fleet agrees on. */
+    private static final List<String> OWN = List.of("Me", "Zone", "Zones");
+
+    /**
+     * This file with other settings, as JSON, but for what is each router's own; those of this file where the
+     * text is empty. The whole is shared among so many routers.
+     */
+    public StartFile with(String settings, int routers) throws StartFault {
+        List<String> faults = new ArrayList<>();
+        try {
+            Map<Object, Object> all = new LinkedHashMap<>(tree);
+            Map<?, ?> former = (Map<?, ?>) tree.get("settings");
+            Object read = settings.isEmpty() ? former : Json.read(settings);
+            if (read instanceof Map<?, ?> given) {
+                Map<Object, Object> next = new LinkedHashMap<>(given);
+                for (String key : OWN) {
+                    next.remove(key);
+                    if (former.containsKey(key)) {
+                        next.put(key, former.get(key));
+                    }
+                }
+                next.put("Balancers", new java.math.BigDecimal(routers));
+                all.put("settings", next);
+                StartFile file = new StartFile(all, faults);
+                if (faults.isEmpty()) {
+                    return file;
+                }
+            } else {
+                faults.add("settings are no JSON object");
+            }
+        } catch (JsonFault fault) {
+            faults.add("settings are no JSON: " + fault.getMessage());
+        }
+        throw new StartFault(faults);
+    }
+
     private static InetSocketAddress address(Keys keys, String path) {
         String text = keys.text(path);
         InetSocketAddress address = Addresses.parse(text);
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -137,7 +137,8 @@
         return balance -> balance.agree(now, agreed());
     }
 
-    private Agreed agreed() {
+    /** All that is agreed, as one value. */
+    public Agreed agreed() {
         return new Agreed(standing, workloads, replication, drains, warmUp, allowance, connections);
     }
 
--- /dev/null
+++ b/router/src/main/java/basaltlever/fleet/Engine.java
@@ -0,0 +1,171 @@
+package basaltlever.fleet;
+
+import basaltlever.agree.Register;
+import basaltlever.agree.Register.Chapter;
+import basaltlever.agree.Version;
+import java.io.ByteArrayInputStream;
+import java.io.DataInput;
+import java.io.DataOutput;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.jgroups.JChannel;
+import org.jgroups.protocols.raft.RAFT;
+import org.jgroups.protocols.raft.Role;
+import org.jgroups.raft.Options;
+import org.jgroups.raft.RaftHandle;
+import org.jgroups.raft.StateMachine;
+
+/**
+ * One voter: JGroups with its Raft (docs/agreement.md says why). Term, vote and log stand in the folder; the
+ * register is what the log comes to. Commands come from the engine's own threads, one after the other; who
+ * reads the register meanwhile holds its lock.
+ */
+final class Engine implements StateMachine, AutoCloseable {
+    private static final String STACK = """
+        <config xmlns="urn:org:jgroups">
+          <TCP bind_addr="%s" bind_port="%d" port_range="0" sock_conn_timeout="300" diag.enabled="false"
+               thread_pool.min_threads="1" thread_pool.max_threads="8" thread_pool.keep_alive_time="5000"
+               bundler_type="no-bundler"/>
+          <TCPPING initial_hosts="%s" port_range="0"/>
+          <MERGE3 min_interval="500" max_interval="1500" check_interval="3000"/>
+          <FD_SOCK2 bind_addr="%s" port_range="0" offset="%d"/>
+          <FD_ALL3 timeout="%d" interval="%d"/>
+          <VERIFY_SUSPECT2 timeout="300"/>
+          <pbcast.NAKACK2 use_mcast_xmit="false" xmit_interval="200"/>
+          <UNICAST3 xmit_interval="200"/>
+          <pbcast.STABLE desired_avg_gossip="5000" max_bytes="1M"/>
+          <raft.NO_DUPES/>
+          <pbcast.GMS print_local_addr="false" join_timeout="700" max_join_attempts="2"/>
+          <FRAG2 frag_size="60K"/>
+          <raft.ELECTION/>
+          <raft.RAFT members="%s" raft_id="%s" log_class="org.jgroups.protocols.raft.FileBasedLog"
+                     log_dir="%s" log_use_fsync="true" resend_interval="200"
+                     max_log_size="1M" log_prefix="%s"/>
+          <raft.REDIRECT/>
+        </config>
+        """;
+    /** Ports that the failure detector listens on lie this far above the voters' own. */
+    private static final int DETECTOR = 1_000;
+
+    /** For readers outside the engine's threads too: hold its lock. */
+    final Register register = new Register();
+    private final JChannel channel;
+    private final RaftHandle raft;
+    private final Consumer<Boolean> leads;
+
+    /**
+     * Joins the others, or waits for them. Suspicion comes after the span; leads is told whenever this voter
+     * begins or ceases to lead, on the engine's thread.
+     */
+    Engine(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder, long suspectMillis,
+           Consumer<Boolean> leads) throws Exception {
+        this.leads = leads;
+        InetSocketAddress own = voters.get(name);
+        String hosts = voters.values().stream().map(at -> at.getHostString() + "[" + at.getPort() + "]")
+            .collect(Collectors.joining(","));
+        String stack = STACK.formatted(own.getHostString(), own.getPort(), hosts, own.getHostString(), DETECTOR, suspectMillis,
+            Math.max(50, suspectMillis / 4), String.join(",", voters.keySet()), name,
+            folder.toAbsolutePath(), name);
+        channel = new JChannel(new ByteArrayInputStream(stack.getBytes(StandardCharsets.UTF_8)));
+        channel.setName(name);
+        raft = new RaftHandle(channel, this).raftId(name);
+        raft.addRoleListener(this::role);
+        channel.connect(fleet);
+    }
+
+    private void role(Role role) {
+        leads.accept(role == Role.Leader);
+    }
+
+    boolean isLeader() {
+        return raft.isLeader();
+    }
+
+    /** How far its log has come, for status. */
+    String standing() {
+        RAFT protocol = raft.raft();
+        return protocol.role().toLowerCase(java.util.Locale.ROOT) + ", term " + raft.currentTerm() + ", applied "
+            + raft.lastApplied() + " of " + raft.commitIndex();
+    }
+
+    /** The answer of the register once a majority has the command; fails where there is none. */
+    CompletableFuture<String> submit(Map<String, Object> command) {
+        byte[] bytes = Message.write(command);
+        try {
+            return raft.setAsync(bytes, 0, bytes.length, Options.create(false)).thenApply(answer -> answer == null
+                ? "" : new String(answer, StandardCharsets.UTF_8));
+        } catch (Exception refused) {
+            return CompletableFuture.failedFuture(refused);
+        }
+    }
+
+    // ---- What the engine asks of the register.
+
+    @Override
+    public byte[] apply(byte[] data, int offset, int length, boolean serialize) throws IOException {
+        Map<String, Object> command = Message.read(data, offset, length);
+        String answer;
+        synchronized (register) {
+            long number = Message.number(command, "number");
+            answer = switch (Message.text(command, "do")) {
+                case "propose" -> register.propose(number, Message.text(command, "text"), (int) Math.max(1,
+                    Message.number(command, "routers")), Message.text(command, "who"), Message.text(command,
+                        "why"), Message.number(command, "at"));
+                case "force" -> register.bringIntoForce(number) ? "" : "it is not on its way";
+                case "withdraw" -> register.withdraw(number, Message.text(command, "why")) ? ""
+                    : "it is not on its way";
+                // A pulse, or what a later release knows: order is all that matters of it.
+                default -> "";
+            };
+        }
+        return answer.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void writeContentTo(DataOutput out) throws IOException {
+        Map<String, Object> all = new LinkedHashMap<>();
+        synchronized (register) {
+            all.put("force", Message.of(register.inForce()));
+            all.put("prepared", Message.of(register.prepared()));
+            all.put("last", register.last());
+            // The texts of old versions would make a snapshot large: revert needs the latest few only.
+            List<Chapter> history = register.history();
+            all.put("history", history.stream().map(chapter -> {
+                boolean old = history.indexOf(chapter) < history.size() - KEPT_TEXTS;
+                Version v = chapter.version();
+                return Message.of(old ? new Chapter(new Version(v.number(), "", v.routers(), v.who(), v.why(),
+                    v.atMillis()), chapter.end(), chapter.reason()) : chapter);
+            }).toList());
+        }
+        byte[] bytes = Message.write(all);
+        out.writeInt(bytes.length);
+        out.write(bytes);
+    }
+
+    private static final int KEPT_TEXTS = 2;
+
+    @Override
+    public void readContentFrom(DataInput in) throws IOException {
+        byte[] bytes = new byte[Math.min(Math.max(0, in.readInt()), Message.LARGEST)];
+        in.readFully(bytes);
+        Map<String, Object> all = Message.read(bytes, 0, bytes.length);
+        synchronized (register) {
+            register.restore(Message.version(all.get("force")), Message.version(all.get("prepared")),
+                Message.number(all, "last"), all.get("history") instanceof List<?> lines ? lines.stream()
+                    .map(line -> Message.chapter((Map<?, ?>) line)).toList() : List.of());
+        }
+    }
+
+    @Override
+    public void close() {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/basaltlever/fleet/Link.java
@@ -0,0 +1,173 @@
+package basaltlever.fleet;
+
+import basaltlever.config.Terms;
+import basaltlever.agree.Grant;
+import basaltlever.agree.Version;
+import basaltlever.log.Event;
+import basaltlever.time.Span;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+
+/**
+ * A router's side of the talk: one connection to whichever voter leads, found by asking one after the other.
+ * What a beat says and what a grant means is the follower's; here it is carried.
+ */
+final class Link {
+    private static final Logger LOG = LoggerFactory.getLogger(Link.class);
+    private static final int BEATS_A_LEASE = 4;
+    /** Beats without an answer after which another voter is asked. */
+    private static final int PATIENCE = 2;
+
+    private final Terms terms;
+    private final EventLoop loop;
+    private final SplittableRandom chance;
+    private final Runnable beats;
+    private final Consumer<Grant> granted;
+    private final List<String> voters;
+    private int asks;
+    private int unanswered;
+    private ChannelHandlerContext open;
+    private boolean connecting;
+    private boolean ended;
+    private Version force;
+    private Version prepared;
+
+    /** Beats is run when one is due, and has to bring it by {@link #send}; both on the link's loop. */
+    Link(Terms terms, EventLoop loop, SplittableRandom chance, Runnable beats, Consumer<Grant> granted) {
+        this.terms = terms;
+        this.loop = loop;
+        this.chance = chance;
+        this.beats = beats;
+        this.granted = granted;
+        voters = new ArrayList<>(terms.voters().keySet());
+        asks = chance.nextInt(voters.size());
+        loop.schedule(this::due, 1, TimeUnit.MILLISECONDS);
+    }
+
+    private void due() {
+        if (ended) {
+            return;
+        }
+        // Spread, so that hundreds of followers do not beat in step.
+        long period = (long) (terms.lease().micros() / BEATS_A_LEASE * (0.8 + 0.4 * chance.nextDouble()));
+        loop.schedule(this::due, period, TimeUnit.MICROSECONDS);
+        if (open == null) {
+            connect();
+        } else if (++unanswered > PATIENCE) {
+            elsewhere();
+        } else {
+            beats.run();
+        }
+    }
+
+    private void elsewhere() {
+        asks = (asks + 1) % voters.size();
+        unanswered = 0;
+        if (open != null) {
+            open.close();
+            open = null;
+        }
+        connect();
+    }
+
+    private void connect() {
+        if (connecting || ended) {
+            return;
+        }
+        connecting = true;
+        Talk talk = new Talk();
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(50, terms.lease().micros() / 2_000))
+            .handler(talk).connect(terms.peers().get(voters.get(asks))).addListener(done -> {
+                connecting = false;
+                if (!done.isSuccess()) {
+                    asks = (asks + 1) % voters.size();
+                }
+            });
+    }
+
+    void send(Map<String, Object> beat) {
+        if (open != null) {
+            Wire.send(open, beat);
+        }
+    }
+
+    void end() {
+        ended = true;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private final class Talk extends Wire {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (ended) {
+                context.close();
+                return;
+            }
+            open = context;
+            unanswered = 0;
+            beats.run();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (open == context) {
+                open = null;
+            }
+        }
+
+        @Override
+        void heard(ChannelHandlerContext from, Map<String, Object> message) {
+            if (from != open) {
+                return;
+            }
+            switch (Message.text(message, "do")) {
+                case "grant" -> {
+                    unanswered = 0;
+                    force = filled(Message.version(message.get("force")), force, prepared);
+                    prepared = filled(Message.version(message.get("prepared")), prepared, force);
+                    if (force != null) {
+                        granted.accept(new Grant(Message.number(message, "beat"),
+                            new Span(Message.number(message, "lasts")), force, prepared));
+                    }
+                }
+                case "follows" -> {
+                    asks = (asks + 1) % voters.size();
+                    loop.schedule(() -> {
+                        if (from == open) {
+                            from.close();
+                            open = null;
+                            connect();
+                        }
+                    }, 20, TimeUnit.MILLISECONDS);
+                }
+                default -> Event.FLEET_REFUSED.log(LOG, Level.ERROR, "", voters.get(asks),
+                    Message.text(message, "why"));
+            }
+        }
+
+        /** A text that it has told before stands for itself. */
+        private Version filled(Version told, Version known, Version other) {
+            if (told == null || !told.text().isEmpty()) {
+                return told;
+            }
+            String text = known != null && known.number() == told.number() ? known.text()
+                : other != null && other.number() == told.number() ? other.text() : "";
+            return new Version(told.number(), text, told.routers(), told.who(), told.why(), told.atMillis());
+        }
+    }
+}
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -41,6 +42,8 @@
     private Span pollTimeout;
     private final Budget budget;
     private final Lives lives;
+    /** What is kept to, by number: what was decided under another is not sent. */
+    private ToIntFunction<Moment> stance = now -> 0;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
     /** All that are unanswered, by the time at which they are owed an answer. */
     private final TreeSet<Taken> owed = new TreeSet<>(Comparator
@@ -75,6 +78,10 @@
         pollTimeout = within;
     }
 
+    void keepsTo(ToIntFunction<Moment> numbered) {
+        stance = numbered;
+    }
+
     void asksFor(String table) {
         changeTable = table;
     }
@@ -310,6 +317,7 @@
         private final int number;
         private final Moment until;
         private final Moment sendBy;
+        private final int decidedUnder = stance.applyAsInt(turn.now());
 
         Execution(Taken taken, int number, Moment until, Moment sendBy) {
             this.taken = taken;
@@ -320,7 +328,7 @@
 
         @Override
         boolean isTooLate(Moment now) {
-            return now.isAfter(sendBy);
+            return now.isAfter(sendBy) || stance.applyAsInt(now) != decidedUnder;
         }
 
         @Override
--- /dev/null
+++ b/router/src/main/java/basaltlever/net/Keeping.java
@@ -0,0 +1,130 @@
+package basaltlever.net;
+
+import basaltlever.agree.Ceilings;
+import basaltlever.agree.Follower;
+import basaltlever.agree.Grant;
+import basaltlever.agree.Meet;
+import basaltlever.agree.Version;
+import basaltlever.config.StartFault;
+import basaltlever.config.StartFile;
+import basaltlever.gateway.Agreed;
+import basaltlever.log.Event;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+
+/**
+ * What this router keeps to by its fleet's word, on the router's loop. Looked at before every turn and before
+ * every write to a node: a process that was stopped finds its lease over before it does anything else, and
+ * what was decided under another stance is not sent any more but decided anew.
+ */
+final class Keeping {
+    private static final Logger LOG = LoggerFactory.getLogger(Keeping.class);
+
+    private static final int NONE = -1;
+
+    private final Follower follower = new Follower();
+    private final StartFile own;
+    private final Span widestBound;
+    private final BiConsumer<StartFile, Agreed> keepTo;
+    private int stance;
+    private StartFile force;
+    private long refused;
+    private String refusal = "";
+
+    /** Own is the start file as installed; keepTo is given the file in force and what holds for now. */
+    Keeping(StartFile own, Span widestBound, BiConsumer<StartFile, Agreed> keepTo) {
+        this.own = own;
+        this.widestBound = widestBound;
+        this.keepTo = keepTo;
+        force = own;
+    }
+
+    Follower follower() {
+        return follower;
+    }
+
+    long refused() {
+        return refused;
+    }
+
+    String refusal() {
+        return refusal;
+    }
+
+    /** Counts up with every other thing that is kept to; none where what is kept to is over by now. */
+    int stance(Moment now) {
+        return follower.isOver(now) ? NONE : stance;
+    }
+
+    /** At the beginning of a turn. */
+    void look(Moment now) {
+        if (follower.hasJustEnded(now)) {
+            keep();
+        }
+    }
+
+    void granted(Moment now, Grant grant) {
+        if (grant.prepared() != null && grant.prepared().number() != refused) {
+            String fault = fault(grant.prepared());
+            if (!fault.isEmpty()) {
+                refused = grant.prepared().number();
+                refusal = fault;
+                Event.FLEET_TURNED_DOWN.log(LOG, Level.WARN, "", refused, refusal);
+            }
+        }
+        // A version that this router can't hold is not kept to either; the leader withdraws it for all.
+        boolean takes = grant.prepared() == null || grant.prepared().number() != refused;
+        if (follower.granted(now, takes ? grant : new Grant(grant.beat(), grant.lasts(), grant.inForce(),
+            null))) {
+            keep();
+        }
+    }
+
+    private String fault(Version version) {
+        try {
+            StartFile next = file(version);
+            List<String> fixed = next.fixedFor(own);
+            if (!fixed.isEmpty()) {
+                return String.join(", ", fixed) + ": takes a restart";
+            }
+            return String.join("; ", Ceilings.brokenBy(next.values().agreed(), own.values().agreed(),
+                widestBound));
+        } catch (StartFault fault) {
+            return fault.getMessage().replace('\n', ';');
+        }
+    }
+
+    private StartFile file(Version version) throws StartFault {
+        return own.with(version.text(), version.routers());
+    }
+
+    private void keep() {
+        stance++;
+        Version known = follower.inForce();
+        Version next = follower.prepared();
+        Agreed holds;
+        try {
+            force = known == null ? own : file(known);
+            holds = force.values().agreed();
+            if (follower.isCareful()) {
+                holds = Meet.careful(holds);
+            } else if (next != null) {
+                holds = Meet.of(holds, file(next).values().agreed());
+            }
+        } catch (StartFault impossible) {
+            // It was checked before it came into force, by this build or by another: whoever can't read what
+            // all others act on acts on nothing that could contradict it.
+            Event.FLEET_TURNED_DOWN.log(LOG, Level.ERROR, "kept to with care", known.number(),
+                impossible.getMessage());
+            holds = Meet.careful(own.values().agreed());
+        }
+        Event.FLEET_KEEPS.log(LOG, Level.INFO, "", known == null ? "none" : known.number(),
+            next == null ? "none" : next.number(), follower.isCareful());
+        keepTo.accept(force, holds);
+    }
+}
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -1,5 +1,7 @@
 package basaltlever.net;
 
+import basaltlever.agree.Follower;
+import basaltlever.agree.Meet;
 import basaltlever.config.Addresses;
 import basaltlever.config.OperatorFile;
 import basaltlever.config.StartFault;
@@ -8,6 +10,8 @@
 import basaltlever.core.Core;
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
+import basaltlever.fleet.Fleet;
+import basaltlever.config.Terms;
 import basaltlever.hold.HoldBudget;
 import basaltlever.keep.Keeper;
 import basaltlever.keep.Machine;
@@ -70,6 +74,7 @@
     private static final int PAGE = 8_192;
     private static final int CHUNK_ORDER = 6;
     private static final int BACKLOG = 512;
+    private static final Span JOINS = Span.ofMillis(4_000);
 
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Map<String, NodeLink> links = new LinkedHashMap<>();
@@ -102,6 +107,8 @@
     private Span follows;
     private Lives lives;
     private Moment swept;
+    private volatile Fleet fleet;
+    private Keeping keeping;
     private PooledByteBufAllocator buffers;
 
     /** To be said before it starts: the life of each statement that takes longer goes to the log. */
@@ -123,6 +130,7 @@
         // Read meanwhile, on the keeper's thread: what it loads first would else be added to the start.
         Recollection recollection = keeper == null ? Recollection.NONE : keeper.recall();
         loop.submit(() -> begin(recollection)).sync();
+        joinFleet();
         Promise<Void> looked = loop.newPromise();
         loop.execute(() -> lookAround(looked, System.nanoTime()));
         looked.sync();
@@ -176,7 +184,12 @@
      * who owes what, and see to it that the new rules hold for all that is sent from here on.
      */
     private void agree(StartFile next) {
-        if (next.hasSettingsOf(inForce)) {
+        if (next.hasSettingsOf(fleet == null ? inForce : start)) {
+            return;
+        }
+        if (fleet != null) {
+            Event.SETTINGS_LEFT.log(LOG, Level.ERROR, "this fleet agrees on its settings: propose a version",
+                "settings");
             return;
         }
         List<String> fixed = next.fixedFor(inForce);
@@ -185,14 +198,19 @@
                 String.join(",", fixed));
             return;
         }
+        adopt(next);
+        turn.hear(now -> core.agree(now, next.values().agreement(now)));
+        Event.SETTINGS_TAKEN.log(LOG, Level.INFO, "", carrier.open());
+    }
+
+    /** What of the settings is not the decisions'. */
+    private void adopt(StartFile next) {
         inForce = next;
         StartValues values = next.values();
         longestTimeout = longestTimeout.longer(values.longestTimeout());
         carrier.reads(values.gauges(0), values.connectTimeout());
         connectWithin(values.connectTimeout());
         links.values().forEach(link -> link.within(values.connectTimeout(), values.idleClose()));
-        turn.hear(now -> core.agree(now, values.agreement(now)));
-        Event.SETTINGS_TAKEN.log(LOG, Level.INFO, "", carrier.open());
     }
 
     private void connectWithin(Span timeout) {
@@ -282,6 +300,53 @@
         }
     }
 
+    /** Waits for its first grant, for as long as an election takes; then it serves with care. */
+    private void joinFleet() throws StartFault, InterruptedException {
+        Terms terms = operator == null ? null : operator.fleet();
+        if (terms == null) {
+            return;
+        }
+        Promise<Void> granted = loop.newPromise();
+        loop.submit(() -> {
+            keeping = new Keeping(start, operator.widestBound(), (file, holds) -> {
+                if (file != inForce) {
+                    adopt(file);
+                }
+                core.agree(turn.clock().now(), balance -> balance.agree(turn.clock().now(), holds));
+            });
+            turn.first(keeping::look);
+            carrier.keepsTo(keeping::stance);
+            // Before the first grant it knows nothing of what holds.
+            core.agree(turn.clock().now(), balance -> balance.agree(turn.clock().now(),
+                Meet.careful(start.values().agreed())));
+        }).sync();
+        try {
+            fleet = new Fleet(terms, start.name(), new SplittableRandom(start.seed()).split(),
+                () -> loop.execute(this::beat), grant -> loop.execute(() -> turn.hear(now -> {
+                    keeping.granted(now, grant);
+                    if (!keeping.follower().isCareful()) {
+                        granted.trySuccess(null);
+                    }
+                })));
+        } catch (Exception fault) {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            Throwable cause = fault;
+            while (cause.getCause() != null) {
+                cause = cause.getCause();
+            }
+            throw new StartFault(List.of("fleet: " + start.name() + " can't be a voter: " + cause));
+        }
+        granted.await(JOINS.longer(terms.lease().times(4)).micros(), TimeUnit.MICROSECONDS);
+    }
+
+    private void beat() {
+        Follower follower = keeping.follower();
+        Moment now = turn.clock().now();
+        boolean holds = !follower.isCareful() && !follower.isOver(now);
+        fleet.beat(follower.beat(now), follower.inForce() == null ? 0 : follower.inForce().number(), holds
+            ? follower.keepsTo() : 0, keeping.refused(), keeping.refusal(), holds);
+    }
+
     private void build() {
         StartValues values = start.values();
         Clock clock = new Clock();
@@ -457,6 +522,11 @@
     }
 
     private void end() {
+        if (fleet != null) {
+            Thread leaves = new Thread(fleet::close, "leaves");
+            leaves.setDaemon(true);
+            leaves.start();
+        }
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         stopped.countDown();
     }
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -23,6 +23,7 @@
     private final Clock clock;
     private final ArrayDeque<Consumer<Moment>> heard = new ArrayDeque<>();
     private final ArrayDeque<Runnable> acts = new ArrayDeque<>();
+    private Consumer<Moment> first = at -> { };
     private boolean asked;
     private Moment now;
     /** When this turn began, and what it reads may have come; when the last one ended. */
@@ -71,6 +72,11 @@
         }
     }
 
+    /** To be done in every turn before anything else is heard. */
+    void first(Consumer<Moment> look) {
+        first = look;
+    }
+
     /** For what the decisions want done. */
     void act(Runnable effect) {
         acts.add(effect);
@@ -88,6 +94,7 @@
     private void run() {
         asked = false;
         now = clock.now();
+        guarded("looking at the lease", () -> first.accept(now));
         // What is heard while this goes on belongs to the next turn.
         for (int left = heard.size(); left > 0; left--) {
             Consumer<Moment> input = heard.poll();
