--- a/router/src/main/java/basaltlever/fleet/Engine.java
+++ b/router/src/main/java/basaltlever/fleet/Engine.java
@@ -35,7 +35,7 @@
                thread_pool.min_threads="1" thread_pool.max_threads="8" thread_pool.keep_alive_time="5000"
                bundler_type="no-bundler"/>
           <TCPPING initial_hosts="%s" port_range="0"/>
-          <MERGE3 min_interval="500" max_interval="1500" check_interval="3000"/>
+          <MERGE3 min_interval="200" max_interval="600" check_interval="1200"/>
           <FD_SOCK2 bind_addr="%s" port_range="0" offset="%d"/>
           <FD_ALL3 timeout="%d" interval="%d"/>
           <VERIFY_SUSPECT2 timeout="300"/>
@@ -45,7 +45,7 @@
           <raft.NO_DUPES/>
           <pbcast.GMS print_local_addr="false" join_timeout="700" max_join_attempts="2"/>
           <FRAG2 frag_size="60K"/>
-          <raft.ELECTION/>
+          <raft.ELECTION2/>
           <raft.RAFT members="%s" raft_id="%s" log_class="org.jgroups.protocols.raft.FileBasedLog"
                      log_dir="%s" log_use_fsync="true" resend_interval="200"
                      max_log_size="1M" log_prefix="%s"/>
