--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -32,10 +32,11 @@
 public final class AgreementRun implements AutoCloseable {
     private static final String FLEET = "lab";
     private static final int BAD_EVERY = 4;
+    private static final int MOST_LOG = 4_000;
     /** After a stop a process first does what had come meanwhile. */
     private static final Span WAKES = Span.ofMillis(250);
 
-    /** While a version was in force and no other proposed by which nothing runs twice; or a process stopped. */
+    /** While one by which nothing runs twice was in force, and no other proposed; or a process stopped. */
     private record Strict(Moment from, Moment to) { }
 
     private final Scenario scenario;
@@ -71,7 +72,7 @@
             places.add(new InetSocketAddress("127.0.0.1", RouterProcess.freePort()));
         }
         for (int v = 0; v < voters; v++) {
-            engines.add(enginePort());
+            engines.add(RouterProcess.freePort());
         }
         for (int r = 0; r < places.size(); r++) {
             bridges.add(new ArrayList<>());
@@ -87,15 +88,6 @@
         }
     }
 
-    /** The engine's detector listens 1,000 above it. */
-    private static int enginePort() throws IOException {
-        for (int port = RouterProcess.freePort();; port = RouterProcess.freePort()) {
-            if (port < 64_000) {
-                return port;
-            }
-        }
-    }
-
     /** A router meets the voters over its own bridges; a voter listens at its own place. */
     private String text(int router, List<Integer> engines) {
         List<String> peers = new ArrayList<>();
@@ -132,6 +124,12 @@
         trouble.start();
         Map<String, Object> figures = run.play();
         over = true;
+        for (RouterProcess router : run.routers()) {
+            if (!router.process().isAlive()) {
+                String log = router.log();
+                System.err.println("a router died:\n" + log.substring(Math.max(0, log.length() - MOST_LOG)));
+            }
+        }
         operator.join(20_000);
         trouble.join(5_000);
         List<Moment> repeats = run.loop().submit(() -> List.copyOf(run.world().ledger.repeats())).get();
@@ -269,8 +267,8 @@
                 return end;
             }
             if (told.get("force") instanceof Map<?, ?> force && told.get("prepared") == null) {
-                Map<String, Object> command = new LinkedHashMap<>(Map.of("do", "propose", "fleet", FLEET, "text",
-                    text, "who", "operator", "why", why));
+                Map<String, Object> command = new LinkedHashMap<>(Map.of("do", "propose", "fleet", FLEET,
+                    "text", text, "who", "operator", "why", why));
                 command.put("number", Message.number(force, "number"));
                 last = Message.text(ask(leader, command), "why");
             }
@@ -283,7 +281,8 @@
         if (told.get("history") instanceof List<?> lines) {
             for (Object line : lines) {
                 Map<?, ?> chapter = (Map<?, ?>) line;
-                if (Message.text(chapter, "why").equals(why) && !Message.text(chapter, "end").equals("REFUSED")) {
+                if (Message.text(chapter, "why").equals(why)
+                    && !Message.text(chapter, "end").equals("REFUSED")) {
                     return Message.text(chapter, "end") + (Message.text(chapter, "reason").isEmpty() ? ""
                         : ": " + Message.text(chapter, "reason"));
                 }
@@ -326,7 +325,8 @@
     }
 
     private void signal(int router, String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, "" + run.routers().get(router).process().pid()).start().waitFor();
+        long pid = run.routers().get(router).process().pid();
+        new ProcessBuilder("kill", "-" + name, "" + pid).start().waitFor();
     }
 
     @Override
--- a/lab/src/main/java/basaltlever/lab/world/Ledger.java
+++ b/lab/src/main/java/basaltlever/lab/world/Ledger.java
@@ -222,7 +222,7 @@
         return figures;
     }
 
-    /** From here on such statements count apart: what a stopped process owes is owed by whoever stopped it. */
+    /** From here on these count apart: what a stopped process owes is owed by whoever stopped it. */
     public void excuses(Predicate<Ask> wereStopped) {
         stopped = wereStopped;
     }
--- a/router/src/main/java/basaltlever/agree/Leases.java
+++ b/router/src/main/java/basaltlever/agree/Leases.java
@@ -130,10 +130,11 @@
         if (prepared != null) {
             for (Peer peer : peers.values()) {
                 if (peer.refused == prepared.number() && isHeard(peer, now)) {
-                    return new Step(Step.Kind.WITHDRAW, prepared.number(), peer.name + ": " + peer.refusal, 0);
+                    return new Step(Step.Kind.WITHDRAW, prepared.number(), peer.name + ": " + peer.refusal,
+                        0);
                 }
             }
-            // Somebody has to have checked it: with nobody there, a version that none can hold came into force.
+            // Somebody has to have checked it: with nobody there, one that none can hold came into force.
             boolean all = !now.isBefore(quietUntil) && peers.values().stream()
                 .allMatch(peer -> !isLive(peer, now) || peer.keepsTo == prepared.number())
                 && peers.values().stream().anyMatch(peer -> isLive(peer, now));
--- a/router/src/main/java/basaltlever/agree/Meet.java
+++ b/router/src/main/java/basaltlever/agree/Meet.java
@@ -38,7 +38,8 @@
             return faults;
         }
         for (int i = 0; i < older.workloads().length; i++) {
-            if (older.workloads()[i].needs() == Needs.WRITE != (newer.workloads()[i].needs() == Needs.WRITE)) {
+            boolean writes = newer.workloads()[i].needs() == Needs.WRITE;
+            if (writes != (older.workloads()[i].needs() == Needs.WRITE)) {
                 faults.add("FamilyInfo.ClassRead: class " + i
                     + " is a write in one and a read in the other, which takes a restart");
             }
@@ -76,7 +77,8 @@
         return new Agreed(known.standing(), workloads,
             new Replication(false, false, known.replication().sessionsCarryTokens()),
             new Drains(known.drains().askedFor(), known.drains().mustAskIn(), true), known.warmUp(),
-            new Allowance(1, false, allowance.cancels(), allowance.polls(), Span.NONE, allowance.answerSlack()),
+            new Allowance(1, false, allowance.cancels(), allowance.polls(), Span.NONE,
+                allowance.answerSlack()),
             known.connections());
     }
 
--- a/router/src/main/java/basaltlever/cli/FleetCommand.java
+++ b/router/src/main/java/basaltlever/cli/FleetCommand.java
@@ -45,7 +45,7 @@
         String who = System.getProperty("user.name");
         @Parameter(names = "--why", description = "one sentence for the history", required = true)
         String why;
-        @Parameter(names = "--basis", description = "the version in force that it was made from; now's if left")
+        @Parameter(names = "--basis", description = "the version in force that it was made from")
         long basis = -1;
         @Parameter(names = "--wait-ms", description = "how long to wait for its end")
         long waitMillis = 15_000;
@@ -192,11 +192,13 @@
         }
         for (Object line : (List<?>) told(terms(revert)).get("history")) {
             Map<?, ?> chapter = (Map<?, ?>) line;
-            if (Message.number(chapter, "number") == number && Message.text(chapter, "end").equals("IN_FORCE")) {
+            if (Message.number(chapter, "number") == number
+                && Message.text(chapter, "end").equals("IN_FORCE")) {
                 return Message.text(chapter, "text");
             }
         }
-        throw new Refusal(REFUSED, "version " + number + " was never in force, or is not remembered any more");
+        throw new Refusal(REFUSED, "version " + number
+            + " was never in force, or is not remembered any more");
     }
 
     private void propose(PrintStream out, Propose of, String text) throws Refusal, StartFault, IOException,
@@ -221,7 +223,8 @@
             for (Object line : (List<?>) now.get("history")) {
                 Map<?, ?> chapter = (Map<?, ?>) line;
                 boolean own = Message.text(chapter, "who").equals(of.who)
-                    && Message.text(chapter, "why").equals(of.why) && Message.number(chapter, "number") > basis;
+                    && Message.text(chapter, "why").equals(of.why)
+                    && Message.number(chapter, "number") > basis;
                 if (own && Message.text(chapter, "end").equals("IN_FORCE")) {
                     tell(out, of, chapter, "version " + Message.number(chapter, "number") + " is in force");
                     return;
@@ -281,8 +284,8 @@
         for (String name : terms.peers().keySet()) {
             Map<?, ?> peer = (Map<?, ?>) seen.get(name);
             text.append("\n").append(peer == null ? "%-16s is not there".formatted(name)
-                : "%-16s %8d %9d %9d %9d  %s".formatted(name, Message.number(peer, "force"), Message.number(peer,
-                    "keeps"), Message.number(peer, "lease_ms"), Message.number(peer, "heard_ms_ago"),
+                : "%-16s %8d %9d %9d %9d  %s".formatted(name, Message.number(peer, "force"),
+                    Message.number(peer, "keeps"), Message.number(peer, "lease_ms"), Message.number(peer, "heard_ms_ago"),
                     Message.text(peer, "refusal")));
         }
         text.append("\ntold by ").append(told.get("voter")).append(", ").append(told.get("standing"));
--- a/router/src/main/java/basaltlever/cli/Main.java
+++ b/router/src/main/java/basaltlever/cli/Main.java
@@ -68,7 +68,7 @@
     private static final class Switch {
     }
 
-    @Parameters(commandDescription = "Versions of a fleet's settings: settings propose, revert, status, history")
+    @Parameters(commandDescription = "Versions of a fleet's settings: propose, revert, status, history")
     private static final class Settings {
     }
 
--- a/router/src/main/java/basaltlever/config/OperatorFile.java
+++ b/router/src/main/java/basaltlever/config/OperatorFile.java
@@ -121,7 +121,8 @@
             return null;
         }
         if (!name.matches("[A-Za-z0-9_.-]{1,64}")) {
-            keys.fault("fleet.name can't be read: " + name + "; it takes up to 64 letters, digits, _ . and -");
+            keys.fault("fleet.name can't be read: " + name + "; it takes up to 64 letters,"
+                + " digits, _ . and -");
         }
         if (voters.size() % 2 == 0 || voters.size() > MOST_VOTERS) {
             keys.fault("fleet.voters names " + voters.size() + "; it takes 1, 3, 5 or 7, so that half is no"
@@ -148,7 +149,8 @@
             String[] parts = item.trim().split("@", 2);
             InetSocketAddress at = parts.length == 2 ? Addresses.parse(parts[1]) : null;
             if (at == null || parts[0].isEmpty() || !parts[0].matches("[A-Za-z0-9_.-]{1,64}")) {
-                keys.fault(key + " can't be read: " + item.trim() + "; it takes NAME@ADDRESS:PORT, with commas");
+                keys.fault(key + " can't be read: " + item.trim()
+                    + "; it takes NAME@ADDRESS:PORT, with commas");
             } else if (places.put(parts[0], at) != null) {
                 keys.fault(key + " names " + parts[0] + " twice");
             }
--- a/router/src/main/java/basaltlever/fleet/Engine.java
+++ b/router/src/main/java/basaltlever/fleet/Engine.java
@@ -3,6 +3,7 @@
 import basaltlever.agree.Register;
 import basaltlever.agree.Register.Chapter;
 import basaltlever.agree.Version;
+import basaltlever.log.Event;
 import java.io.ByteArrayInputStream;
 import java.io.DataInput;
 import java.io.DataOutput;
@@ -22,6 +23,9 @@
 import org.jgroups.raft.Options;
 import org.jgroups.raft.RaftHandle;
 import org.jgroups.raft.StateMachine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * One voter: JGroups with its Raft (docs/agreement.md says why). Term, vote and log stand in the folder; the
@@ -54,12 +58,15 @@
         """;
     /** Ports that the failure detector listens on lie this far above the voters' own. */
     private static final int DETECTOR = 1_000;
+    private static final long JOINS_AGAIN_MILLIS = 300;
+    private static final Logger LOG = LoggerFactory.getLogger(Engine.class);
 
     /** For readers outside the engine's threads too: hold its lock. */
     final Register register = new Register();
     private final JChannel channel;
     private final RaftHandle raft;
     private final Consumer<Boolean> leads;
+    private volatile boolean closed;
 
     /**
      * Joins the others, or waits for them. Suspicion comes after the span; leads is told whenever this voter
@@ -71,14 +78,37 @@
         InetSocketAddress own = voters.get(name);
         String hosts = voters.values().stream().map(at -> at.getHostString() + "[" + at.getPort() + "]")
             .collect(Collectors.joining(","));
-        String stack = STACK.formatted(own.getHostString(), own.getPort(), hosts, own.getHostString(), DETECTOR, suspectMillis,
+        String stack = STACK.formatted(own.getHostString(), own.getPort(), hosts,
+            own.getHostString(), DETECTOR, suspectMillis,
             Math.max(50, suspectMillis / 4), String.join(",", voters.keySet()), name,
             folder.toAbsolutePath(), name);
         channel = new JChannel(new ByteArrayInputStream(stack.getBytes(StandardCharsets.UTF_8)));
         channel.setName(name);
         raft = new RaftHandle(channel, this).raftId(name);
         raft.addRoleListener(this::role);
-        channel.connect(fleet);
+        Thread joins = new Thread(() -> join(fleet), "joins");
+        joins.setDaemon(true);
+        joins.start();
+    }
+
+    /**
+     * A voter that was ended and is back at once is turned away for as long as the others have not noticed
+     * that it was gone: it asks again, and its router serves meanwhile.
+     */
+    private void join(String fleet) {
+        while (!closed) {
+            try {
+                channel.connect(fleet);
+                return;
+            } catch (Exception turnedAway) {
+                Event.FLEET_JOINS.log(LOG, Level.WARN, "asks again", turnedAway);
+            }
+            try {
+                Thread.sleep(JOINS_AGAIN_MILLIS);
+            } catch (InterruptedException ended) {
+                return;
+            }
+        }
     }
 
     private void role(Role role) {
@@ -92,16 +122,16 @@
     /** How far its log has come, for status. */
     String standing() {
         RAFT protocol = raft.raft();
-        return protocol.role().toLowerCase(java.util.Locale.ROOT) + ", term " + raft.currentTerm() + ", applied "
-            + raft.lastApplied() + " of " + raft.commitIndex();
+        return protocol.role().toLowerCase(java.util.Locale.ROOT) + ", term " + raft.currentTerm()
+            + ", applied " + raft.lastApplied() + " of " + raft.commitIndex();
     }
 
     /** The answer of the register once a majority has the command; fails where there is none. */
     CompletableFuture<String> submit(Map<String, Object> command) {
         byte[] bytes = Message.write(command);
         try {
-            return raft.setAsync(bytes, 0, bytes.length, Options.create(false)).thenApply(answer -> answer == null
-                ? "" : new String(answer, StandardCharsets.UTF_8));
+            return raft.setAsync(bytes, 0, bytes.length, Options.create(false)).thenApply(answer ->
+                answer == null ? "" : new String(answer, StandardCharsets.UTF_8));
         } catch (Exception refused) {
             return CompletableFuture.failedFuture(refused);
         }
@@ -166,6 +196,7 @@
 
     @Override
     public void close() {
+        closed = true;
         channel.close();
     }
 }
--- a/router/src/main/java/basaltlever/fleet/Fleet.java
+++ b/router/src/main/java/basaltlever/fleet/Fleet.java
@@ -45,8 +45,8 @@
     /** What a router says of itself; from any thread. */
     public void beat(long number, long force, long keeps, long refused, String refusal, boolean holds) {
         Map<String, Object> beat = Map.of("do", "beat", "fleet", terms.name(), "from", name, "incarnation",
-            incarnation, "beat", number, "force", force, "keeps", keeps, "refused", refused, "refusal", refusal,
-            "holds", holds);
+            incarnation, "beat", number, "force", force, "keeps", keeps, "refused", refused, "refusal",
+            refusal, "holds", holds);
         loop.execute(() -> link.send(beat));
     }
 
--- a/router/src/main/java/basaltlever/fleet/Voter.java
+++ b/router/src/main/java/basaltlever/fleet/Voter.java
@@ -183,8 +183,8 @@
     private Map<String, Object> beat(String name, Map<String, Object> beat) {
         Grant grant;
         synchronized (engine.register) {
-            grant = leases.beat(now(), name, Message.number(beat, "incarnation"), Message.number(beat, "beat"),
-                Message.number(beat, "force"), Message.number(beat, "keeps"), Message.number(beat, "refused"),
+            grant = leases.beat(now(), name, Message.number(beat, "incarnation"),
+                Message.number(beat, "beat"), Message.number(beat, "force"), Message.number(beat, "keeps"), Message.number(beat, "refused"),
                 Message.text(beat, "refusal"), Message.flag(beat, "holds"), engine.register);
         }
         Map<String, Object> told = new HashMap<>();
--- a/router/src/main/java/basaltlever/log/Event.java
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -28,6 +28,7 @@
     OVERDUE("overdue", "id", "executions", "out"),
     LOOP_LATE("loop_late", "by_ms"),
     CLIENT_ENDED("client_ended", "client", "state", "bytes"),
+    FLEET_JOINS("fleet_joins", "cause"),
     FLEET_LEADER("fleet_leader", "voter"),
     FLEET_STEP("fleet_step", "step", "version", "cause"),
     FLEET_REFUSED("fleet_refused", "voter", "cause"),
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -111,8 +111,8 @@
                 look.cancel(false);
             }
             looksAt = at;
-            look = loop.schedule(() -> turn.hear(now -> overdue(now, now)), Math.max(1, at.since(turn.clock().now())
-                .micros()), TimeUnit.MICROSECONDS);
+            long left = Math.max(1, at.since(turn.clock().now()).micros());
+            look = loop.schedule(() -> turn.hear(now -> overdue(now, now)), left, TimeUnit.MICROSECONDS);
         }
     }
 
