--- a/router/src/main/java/basaltlever/agree/Register.java
+++ b/router/src/main/java/basaltlever/agree/Register.java
@@ -28,7 +28,7 @@
 
     /**
      * A proposal made with the given version in force; empty where it is being prepared from here on, else
-     * why it is not. The later of two operators is told what it lost against.
+     * why it is not, and it gets no number. The later of two operators is told what it lost against.
      */
     public String propose(long basis, String text, int routers, String who, String why, long atMillis) {
         String reason = prepared != null ? "version " + prepared.number() + " by " + prepared.who()
@@ -36,7 +36,7 @@
             : basis != inForce.number() ? "version " + inForce.number() + " by " + inForce.who()
                 + " came into force since version " + basis
             : text.length() > LARGEST ? "it is longer than " + LARGEST + " characters" : "";
-        Version version = new Version(reason.isEmpty() ? ++last : last, text, routers, who, why, atMillis);
+        Version version = new Version(reason.isEmpty() ? ++last : 0, text, routers, who, why, atMillis);
         if (reason.isEmpty()) {
             prepared = version;
         } else {
--- a/router/src/test/java/basaltlever/OperatorTest.java
+++ b/router/src/test/java/basaltlever/OperatorTest.java
@@ -90,6 +90,19 @@
         }
     }
 
+    @Example
+    void aFleetThatCanNotWorkIsNamedKeyByKey() throws IOException {
+        String fleet = "[fleet]\nname = f\nfolder = /x\npeers = n1@127.0.0.1:1,n2@127.0.0.1:2,n3@127.0.0.1:3\n";
+        String voters = "voters = n1@127.0.0.1:4\n";
+        check(faults(fleet + voters).isEmpty(), "one voter is a fleet");
+        check(faults(fleet + "voters = n1@127.0.0.1:4,n2@127.0.0.1:5\n").contains("half is no"), "two voters");
+        check(faults(fleet + "voters = n9@127.0.0.1:4\n").contains("names n9"), "a voter that is no peer");
+        check(faults(fleet + "voters = n1\n").contains("NAME@ADDRESS:PORT"), "a voter without a place");
+        check(faults(fleet + voters + "lease_ms = 800\n").contains("less than twice"), "no time to be over");
+        check(faults(fleet.replace("folder = /x", "folder =") + voters).contains("fleet.folder"), "no folder");
+        check(faults(fleet.replace("n2@", "n1@") + voters).contains("twice"), "a name given twice");
+    }
+
     @Example
     void thePageOfEventsNamesEachWithItsFields() throws IOException {
         String page = Files.readString(Path.of("docs/events.md"));
