--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -316,7 +316,8 @@
     /** Between statements a client's connection may be closed; what crosses that, the client sends again. */
     @Override
     public void closeIdle() {
-        if (state != State.CLOSED && (state == State.STARTING || frames.size() == 0)) {
+        // Part of a first statement is none yet; part of a later one is its client's, who waits here.
+        if (state != State.CLOSED && (!asked || frames.size() == 0)) {
             gone();
             closesAfter(context.writeAndFlush(context.alloc().buffer(0)));
         }
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -717,6 +717,10 @@
                 return this;
             }
 
+            public void sendBytes(byte[] bytes) throws IOException {
+                socket.getOutputStream().write(bytes);
+            }
+
             public Client ask(String query) throws IOException {
                 ByteBuf out = Unpooled.buffer();
                 Write.query(out, query);
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -48,10 +48,16 @@
         final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Clients clients;
         Turn turn;
+        final int sockets;
         final Channel listener;
         final int port;
 
         Forgetful() throws Exception {
+            this(200);
+        }
+
+        Forgetful(int sockets) throws Exception {
+            this.sockets = sockets;
             loop.submit(this::build).sync();
             listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .handler(new Accepting(new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD,
@@ -76,7 +82,7 @@
                 Span.ofMillis(100), budget, lives);
             Outside<String> silent = (Outside<String>) Proxy.newProxyInstance(getClass().getClassLoader(),
                 new Class<?>[] {Outside.class}, (proxy, method, arguments) -> null);
-            clients = new Clients(turn, new Descriptors(200), values.workloadNames(), 500, budget,
+            clients = new Clients(turn, new Descriptors(sockets), values.workloadNames(), 500, budget,
                 new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD, clock::now), lives);
             Core<String> core = new Core<>(silent, values.balance(1, clock.now(), values.holds()));
             clients.serve(core, carrier);
@@ -131,6 +137,28 @@
         }
     }
 
+    @Example
+    void whoSentHalfOfAFirstStatementMakesRoom() throws Exception {
+        List<Client> halves = new ArrayList<>();
+        try (Forgetful router = new Forgetful(8)) {
+            for (int i = 0; i < 6; i++) {
+                halves.add(new Client(router.port).start());
+                halves.get(i).answer();
+                halves.get(i).sendBytes(new byte[] {'Q', 0, 0, 0, 90, '/'});
+            }
+            Thread.sleep(50);
+            long since = System.nanoTime();
+            try (Client whole = new Client(router.port)) {
+                check(whole.start().answer().isEmpty(), "admitted");
+                check(halves.get(0).answer().equals("closed") && millisSince(since) < 1_000, "in its place");
+            }
+        } finally {
+            for (Client half : halves) {
+                half.close();
+            }
+        }
+    }
+
     /** Clients that send the next ones early, on a loop that is held up again and again. */
     @Property(tries = 4, seed = "281", shrinking = ShrinkingMode.OFF)
     void eachIsAnsweredOnceAndInItsTimeThoughTheDecisionsForgetIt(@ForAll long seed) throws Exception {
