Fleet: what nobody calls is gone

Read over once more: Voter.settles had no caller, Follower's constructor said nothing, a bound stood in the middle of Engine. Behaviour as it was.

--- a/router/src/main/java/basaltlever/agree/Follower.java
+++ b/router/src/main/java/basaltlever/agree/Follower.java
@@ -20,11 +20,8 @@
     private Moment leaseEnds = Moment.LONG_AGO;
     private Version inForce;
     private Version prepared;
-    private boolean careful = true;
-
     /** Before the first grant nothing is known to hold. */
-    public Follower() {
-    }
+    private boolean careful = true;
 
     /** Number of a beat that is sent now. */
     public long beat(Moment now) {
--- a/router/src/main/java/basaltlever/fleet/Engine.java
+++ b/router/src/main/java/basaltlever/fleet/Engine.java
@@ -60,6 +60,7 @@
     /** Ports that the failure detector listens on lie this far above the voters' own. */
     private static final int DETECTOR = 1_000;
     private static final long JOINS_AGAIN_MILLIS = 300;
+    private static final int KEPT_TEXTS = 2;
     private static final Logger LOG = LoggerFactory.getLogger(Engine.class);
 
     /** For readers outside the engine's threads too: hold its lock. */
@@ -181,8 +182,6 @@
         out.write(bytes);
     }
 
-    private static final int KEPT_TEXTS = 2;
-
     @Override
     public void readContentFrom(DataInput in) throws IOException {
         byte[] bytes = new byte[Math.min(Math.max(0, in.readInt()), Message.LARGEST)];
--- a/router/src/main/java/basaltlever/fleet/Voter.java
+++ b/router/src/main/java/basaltlever/fleet/Voter.java
@@ -8,7 +8,6 @@
 import basaltlever.agree.Version;
 import basaltlever.log.Event;
 import basaltlever.time.Moment;
-import basaltlever.time.Span;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -243,9 +242,4 @@
         listener.close();
         engine.close();
     }
-
-    /** Within which an election and a quiet lease are over. */
-    static Span settles(Terms terms) {
-        return terms.lease().times(3);
-    }
 }
