A statement's time is its client's again, not less the loop's longest turn

Likely line: Clients.take ended a statement's time earlier by the longest turn of the last seconds; right after a start turns of 200 to 400 ms are common, so holds of routers that have just started were cut by up to a quarter. What it was for (answers up to 138 ms late, half a second is needed to lose one) does not need it.

--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -18,8 +18,6 @@
 final class Clients {
     /** A client may rely on an idle connection for this long. */
     private static final Span KEPT = Span.ofMillis(2_000);
-    /** No more of a statement's time is given up for answers that this loop may send late. */
-    private static final double MOST_EARLY = 0.25;
     private final Turn turn;
     private final Descriptors descriptors;
     private final List<String> workloadNames;
@@ -81,10 +79,8 @@
             ? lives.begins(query.id, arrived, arrived.plus(Span.ofMillis(query.waitMillis))) : null);
         boolean fits = budget.hold(text.capacity());
         turn.hear(now -> {
-            // Its client waits since it sent, not since this loop came to read; and what a loop wants done at
-            // a moment is done as much later as its turns take.
-            Span waits = Span.ofMillis(query.waitMillis);
-            taken.owedBy = arrived.plus(waits).minus(turn.lateness().shorter(waits.times(MOST_EARLY)));
+            // Its client waits since it sent, not since this loop came to read.
+            taken.owedBy = arrived.plus(Span.ofMillis(query.waitMillis));
             if (carrier.open() >= mostOpen || !fits) {
                 carrier.turnAway(taken);
                 return;
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -11,14 +11,13 @@
 
 /**
  * One turn of the loop: what the handlers heard is handed to the decisions in one go, after all I/O of the
- * turn and with one reading of the clock; only then is carried out what came back, in order. It knows how
- * long turns take, since what comes meanwhile is read late and what is due meanwhile goes out late.
+ * turn and with one reading of the clock; only then is carried out what came back, in order. What comes while
+ * a turn goes on is read late: a turn knows since when what it reads may have waited.
  */
 final class Turn {
     private static final Logger LOG = LoggerFactory.getLogger(Turn.class);
     /** A loop that begins again this soon after its last turn did not wait for what it reads now. */
     private static final Span AT_ONCE = Span.ofMillis(5);
-    private static final Span REMEMBERED = Span.ofMillis(5_000);
     private final SingleThreadEventLoop loop;
     private final Clock clock;
     private final ArrayDeque<Consumer<Moment>> heard = new ArrayDeque<>();
@@ -30,10 +29,6 @@
     private Moment began;
     private Moment earliest;
     private Moment ended;
-    /** The longest turn of these last seconds, and of those before. */
-    private Span longest = Span.NONE;
-    private Span longestBefore = Span.NONE;
-    private Moment remembersFrom;
 
     Turn(SingleThreadEventLoop loop, Clock clock) {
         this.loop = loop;
@@ -42,7 +37,6 @@
         began = now;
         earliest = now;
         ended = now;
-        remembersFrom = now;
     }
 
     /** For handlers and timers; on the loop's thread only. */
@@ -57,11 +51,6 @@
         return earliest;
     }
 
-    /** What a turn has taken at most of late: so much later than asked may the next thing be done. */
-    Span lateness() {
-        return longest.longer(longestBefore);
-    }
-
     private void begins() {
         if (!asked) {
             asked = true;
@@ -104,12 +93,6 @@
             guarded("carrying out", act);
         }
         ended = clock.now();
-        if (ended.since(remembersFrom).isLongerThan(REMEMBERED)) {
-            longestBefore = ended.since(remembersFrom).isLongerThan(REMEMBERED.times(2)) ? Span.NONE : longest;
-            longest = Span.NONE;
-            remembersFrom = ended;
-        }
-        longest = longest.longer(ended.since(began));
     }
 
     private static void guarded(String what, Runnable step) {
