--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -201,7 +201,9 @@
         Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
         Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
-        lives.step(taken.life, execution + ">" + node);
+        if (taken.life != null) {
+            lives.step(taken.life, execution + ">" + node);
+        }
         taken.out++;
         turn.act(() -> {
             if (taken.answered || limit.micros() <= 0) {
@@ -333,7 +335,9 @@
 
         @Override
         void write(ByteBuf out) {
-            lives.step(taken.life, number + "w");
+            if (taken.life != null) {
+                lives.step(taken.life, number + "w");
+            }
             long left = Math.max(1, until.since(turn.clock().now()).micros());
             Write.query(out, taken.text, taken.query.waitFrom, taken.query.waitTo, (left + 999) / 1_000);
         }
@@ -350,7 +354,10 @@
 
         private void ended(Moment now, Ending ending, Answer answer) {
             taken.out--;
-            lives.step(taken.life, number + "=" + ending);
+            // Text put together for nobody costs a process that has just started most.
+            if (taken.life != null) {
+                lives.step(taken.life, number + "=" + ending);
+            }
             guarded(taken, () -> {
                 if (core.ended(now, taken.ticket, number, ending, role(answer),
                     gauges.afterMillis(answer.position), false)) {
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -22,7 +22,8 @@
     private final Clock clock;
     private final ArrayDeque<Consumer<Moment>> heard = new ArrayDeque<>();
     private final ArrayDeque<Runnable> acts = new ArrayDeque<>();
-    private Consumer<Moment> first = at -> { };
+    /** Null for nothing. */
+    private Consumer<Moment> first;
     private boolean asked;
     private Moment now;
     /** When this turn began, and what it reads may have come; when the last one ended. */
@@ -83,7 +84,9 @@
     private void run() {
         asked = false;
         now = clock.now();
-        guarded("looking at the lease", () -> first.accept(now));
+        if (first != null) {
+            guarded("looking at the lease", () -> first.accept(now));
+        }
         // What is heard while this goes on belongs to the next turn.
         for (int left = heard.size(); left > 0; left--) {
             Consumer<Moment> input = heard.poll();
