--- a/router/src/main/java/basaltlever/cli/Main.java
+++ b/router/src/main/java/basaltlever/cli/Main.java
@@ -88,18 +88,25 @@
         Serve serve = new Serve();
         Check check = new Check();
         Rehearse rehearse = new Rehearse();
-        JCommander line = JCommander.newBuilder().programName("basaltlever")
-            .addCommand("serve", serve).addCommand("check", check).addCommand("rehearse", rehearse)
-            .addCommand("adapter", new Bench())
-            .addCommand("state", new State()).addCommand("switch", new Switch())
-            .addCommand("settings", new Settings()).addCommand("fleet", new FleetOf())
-            .addCommand("version", new Version()).addCommand("help", new Help()).build();
+        JCommander line = JCommander.newBuilder().programName("basaltlever").addCommand("serve", serve).build();
         StateCommand state = new StateCommand();
-        state.joins(line);
         SwitchCommand change = new SwitchCommand();
-        change.joins(line);
         FleetCommand fleet = new FleetCommand();
-        fleet.joins(line);
+        if (args.length == 0 || !args[0].equals("serve")) {
+            // Each is looked through by reflection: a router that starts, again and again, needs none of them.
+            line.addCommand("check", check);
+            line.addCommand("rehearse", rehearse);
+            line.addCommand("adapter", new Bench());
+            line.addCommand("state", new State());
+            line.addCommand("switch", new Switch());
+            line.addCommand("settings", new Settings());
+            line.addCommand("fleet", new FleetOf());
+            line.addCommand("version", new Version());
+            line.addCommand("help", new Help());
+            state.joins(line);
+            change.joins(line);
+            fleet.joins(line);
+        }
         try {
             line.parse(args);
         } catch (ParameterException fault) {
