--- a/router/src/main/java/basaltlever/cli/FleetCommand.java
+++ b/router/src/main/java/basaltlever/cli/FleetCommand.java
@@ -21,7 +21,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.TreeMap;
 
 /** Versions of a fleet's settings, and who is there: what the voters tell, by the operator's file. */
@@ -296,35 +295,8 @@
     private static String json(Object value) throws IOException {
         StringWriter text = new StringWriter();
         try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
-            write(out, value);
+            Message.value(out, value);
         }
         return text.toString();
     }
-
-    private static void write(JsonGenerator out, Object value) throws IOException {
-        if (value instanceof Map<?, ?> members) {
-            out.writeStartObject();
-            for (Map.Entry<?, ?> member : members.entrySet()) {
-                out.writeFieldName(String.valueOf(member.getKey()));
-                write(out, member.getValue());
-            }
-            out.writeEndObject();
-        } else if (value instanceof List<?> items) {
-            out.writeStartArray();
-            for (Object item : items) {
-                write(out, item);
-            }
-            out.writeEndArray();
-        } else if (value instanceof java.math.BigDecimal number) {
-            out.writeNumber(number.toPlainString());
-        } else if (value instanceof Number number) {
-            out.writeNumber(number.longValue());
-        } else if (value instanceof Boolean flag) {
-            out.writeBoolean(flag);
-        } else if (value == null) {
-            out.writeNull();
-        } else {
-            out.writeString(Objects.toString(value));
-        }
-    }
 }
--- a/router/src/main/java/basaltlever/fleet/Message.java
+++ b/router/src/main/java/basaltlever/fleet/Message.java
@@ -41,7 +41,8 @@
         return bytes.toByteArray();
     }
 
-    private static void value(JsonGenerator out, Object value) throws IOException {
+    /** In CBOR or as JSON, by the generator. */
+    public static void value(JsonGenerator out, Object value) throws IOException {
         if (value instanceof Map<?, ?> members) {
             out.writeStartObject();
             for (Map.Entry<?, ?> member : members.entrySet()) {
@@ -55,6 +56,8 @@
                 value(out, item);
             }
             out.writeEndArray();
+        } else if (value instanceof java.math.BigDecimal number) {
+            out.writeNumber(number.toPlainString());
         } else if (value instanceof Number number) {
             out.writeNumber(number.longValue());
         } else if (value instanceof Boolean flag) {
