Routers of a fleet agree on lists: drains for all, seats of members, odd lists held off

Need: each router followed its own watch, so one could send to a member that another knew as draining, and a member that moved served two groups at once.

Change (off without [fleet]; nothing of it is on the way of a platform's run): - agree.Roll, free of I/O: what a list forbids binds at once, what it allows waits until most hold the same list or nobody contradicts it for the stated time. A list that goes back, empties or shrinks at once is held off. - agree.Census at the leader: drains and removals are passed on without a vote, digests find out a discovery that tells two things, and names who holds which. - Seats (member, group) are agreed through the voters: a member that moves is used by nobody until every router has let go of it or was silent for assigned_ms; eras of generations are agreed where discovery counts anew. - A router that hears nothing for assigned_ms less its longest statement timeout uses no member any more.

Grants now carry how many commands the register has seen and an older one is passed over.

Tried and given up: taking the first list that most hold for the groups of a fresh process, and asking others for their groups: each left a way by which a member that came while some lists were late had two groups; so all seats are agreed.

--- a/router/src/main/java/basaltlever/Recall.java
+++ b/router/src/main/java/basaltlever/Recall.java
@@ -34,6 +34,11 @@
             cold ? node.coldWork / balance.typicalOfAll : 0, cold ? ago(node.coldAt) : NodeView.NEVER);
     }
 
+    /** Executions that are out at it. */
+    public int out(int id) {
+        return balance.nodes.get(id).out;
+    }
+
     private Span ago(Moment then) {
         return then.isAfter(Moment.LONG_AGO) ? balance.now.since(then) : NodeView.NEVER;
     }
--- a/router/src/main/java/basaltlever/agree/Follower.java
+++ b/router/src/main/java/basaltlever/agree/Follower.java
@@ -17,6 +17,7 @@
 
     private final ArrayDeque<Beat> out = new ArrayDeque<>();
     private long beats;
+    private long changes;
     private Moment leaseEnds = Moment.LONG_AGO;
     private Version inForce;
     private Version prepared;
@@ -39,10 +40,12 @@
             Beat beat = out.removeFirst();
             sent = beat.number() == grant.beat() ? beat.sent() : sent;
         }
-        if (sent == null || inForce != null && grant.inForce().number() < inForce.number()) {
-            // Repeated, overtaken, or by someone who does not know yet what is in force.
+        if (sent == null || grant.changes() < changes) {
+            // Repeated, overtaken, or by one that was replaced without knowing it: what it has not heard of yet
+            // this router may have promised its successor to keep to.
             return false;
         }
+        changes = grant.changes();
         boolean differs = inForce == null || inForce.number() != grant.inForce().number()
             || number(prepared) != number(grant.prepared());
         inForce = grant.inForce();
--- a/router/src/main/java/basaltlever/agree/Grant.java
+++ b/router/src/main/java/basaltlever/agree/Grant.java
@@ -9,6 +9,7 @@
  * @param lasts from the beat's sending on, by the router's own clock; none where no lease is given
  * @param inForce the version in force
  * @param prepared the version on its way, or null
+ * @param changes of the voters' register when it was given: a leader that was replaced knows fewer
  */
-public record Grant(long beat, Span lasts, Version inForce, Version prepared) {
+public record Grant(long beat, Span lasts, Version inForce, Version prepared, long changes) {
 }
--- a/router/src/main/java/basaltlever/agree/Leases.java
+++ b/router/src/main/java/basaltlever/agree/Leases.java
@@ -3,7 +3,9 @@
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /**
@@ -46,6 +48,8 @@
     private final Span lease;
     private final double drift;
     private final TreeMap<String, Peer> peers = new TreeMap<>();
+    /** Of everybody since the election, those that are forgotten too. */
+    private final Map<String, Moment> heardAt = new HashMap<>();
     private Moment confirmed = Moment.LONG_AGO;
     private Moment quietUntil = Moment.NEVER;
 
@@ -56,13 +60,14 @@
     }
 
     /** How long a lease may last by the leader's clock that a router counts on its own. */
-    private Span atMost(Span granted) {
+    Span atMost(Span granted) {
         return granted.times(1 + 2 * drift);
     }
 
     /** From here on this voter leads; what the one before granted is not known. */
     public void elected(Moment now) {
         peers.clear();
+        heardAt.clear();
         confirmed = Moment.LONG_AGO;
         quietUntil = now.plus(atMost(lease));
     }
@@ -86,7 +91,7 @@
                       long refused, String refusal, boolean holds, Register register) {
         Span lasts = lease.shorter(confirmed.plus(lease).since(now)).longer(Span.NONE);
         if (!peers.containsKey(name) && peers.size() >= MOST_PEERS) {
-            return new Grant(number, Span.NONE, register.inForce(), register.prepared());
+            return new Grant(number, Span.NONE, register.inForce(), register.prepared(), register.changes());
         }
         Peer peer = peers.computeIfAbsent(name, Peer::new);
         if (peer.incarnation != incarnation) {
@@ -96,6 +101,7 @@
             peer.keepsTo = 0;
         }
         peer.heard = now;
+        heardAt.put(name, now);
         peer.inForce = inForce;
         peer.keepsTo = keepsTo;
         peer.refused = refused;
@@ -111,7 +117,7 @@
         if (lasts.micros() > 0) {
             peer.leaseEnds = peer.leaseEnds.later(now.plus(atMost(lasts)));
         }
-        return new Grant(number, lasts, register.inForce(), register.prepared());
+        return new Grant(number, lasts, register.inForce(), register.prepared(), register.changes());
     }
 
     private static boolean isLive(Peer peer, Moment now) {
@@ -148,6 +154,30 @@
             wanted) : Step.NOTHING;
     }
 
+    Span lease() {
+        return lease;
+    }
+
+    /** Whether somebody of this name may act under a lease. */
+    boolean isLive(String name, Moment now) {
+        return peers.containsKey(name) && isLive(peers.get(name), now);
+    }
+
+    /** Whether leases that the leader before has granted may go on. */
+    boolean isQuiet(Moment now) {
+        return now.isBefore(quietUntil);
+    }
+
+    /** Whether a majority has borne this leader out of late: another may lead by now where not. */
+    boolean isBorneOut(Moment now) {
+        return now.isBefore(confirmed.plus(lease));
+    }
+
+    /** When this leader heard from it last. */
+    Moment heard(String name) {
+        return heardAt.getOrDefault(name, Moment.LONG_AGO);
+    }
+
     private boolean isHeard(Peer peer, Moment now) {
         return !now.since(peer.heard).isLongerThan(lease);
     }
--- a/router/src/main/java/basaltlever/agree/Register.java
+++ b/router/src/main/java/basaltlever/agree/Register.java
@@ -2,7 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * What the voters agree on: which version is in force and which is being brought into force. It is changed by
@@ -12,6 +16,7 @@
  */
 public final class Register {
     private static final int MOST_HISTORY = 200;
+    private static final int MOST_SEATS = 4_000;
     /** Settings, as bytes of text at most. */
     public static final int LARGEST = 128 * 1024;
 
@@ -24,13 +29,20 @@
     private Version inForce = new Version(0, "", 1, "", "the start file of each router", 0);
     private Version prepared;
     private long last;
+    private long changes;
     private final ArrayDeque<Chapter> history = new ArrayDeque<>();
+    private final TreeMap<String, Seat> seats = new TreeMap<>();
+    /** At which number each has changed last. */
+    private final Map<String, Long> seatedAt = new HashMap<>();
+    private long seatsNumber;
+    private long era;
 
     /**
      * A proposal made with the given version in force; empty where it is being prepared from here on, else
      * why it is not, and it gets no number. The later of two operators is told what it lost against.
      */
     public String propose(long basis, String text, int routers, String who, String why, long atMillis) {
+        changes++;
         String reason = prepared != null ? "version " + prepared.number() + " by " + prepared.who()
             + " is being brought into force"
             : basis != inForce.number() ? "version " + inForce.number() + " by " + inForce.who()
@@ -47,6 +59,7 @@
 
     /** All live routers keep to the stricter of both, and all others have no lease: it holds from here on. */
     public boolean bringIntoForce(long number) {
+        changes++;
         if (prepared == null || prepared.number() != number) {
             return false;
         }
@@ -57,6 +70,7 @@
     }
 
     public boolean withdraw(long number, String reason) {
+        changes++;
         if (prepared == null || prepared.number() != number) {
             return false;
         }
@@ -65,6 +79,84 @@
         return true;
     }
 
+    // ---- What lists contradict each other by.
+
+    /**
+     * A member belongs to a group from here on: at once where it has no other, else once that is cleared. False
+     * where nothing is changed.
+     */
+    public boolean seat(String member, int group, Stamp at) {
+        changes++;
+        Seat known = seats.get(member);
+        if (known != null && (!known.cleared() || known.group() == group || !at.isNewerThan(known.at()))) {
+            return false;
+        }
+        put(new Seat(member, group, at, known == null));
+        if (seats.size() > MOST_SEATS) {
+            // A list from long ago may name it in another group: the oldest is the least likely to be met.
+            seats.values().stream().filter(Seat::cleared).min(Comparator.comparing(Seat::at)).ifPresent(oldest -> {
+                seats.remove(oldest.member());
+                seatedAt.remove(oldest.member());
+            });
+        }
+        return true;
+    }
+
+    /** Every router has let go of it. */
+    public boolean clear(String member) {
+        changes++;
+        Seat known = seats.get(member);
+        if (known == null || known.cleared()) {
+            return false;
+        }
+        put(new Seat(member, known.group(), known.at(), true));
+        return true;
+    }
+
+    private void put(Seat seat) {
+        seats.put(seat.member(), seat);
+        seatedAt.put(seat.member(), ++seatsNumber);
+    }
+
+    /** Discovery counts its generations anew. */
+    public boolean countAnew(long from) {
+        changes++;
+        era += from == era ? 1 : 0;
+        return from == era - 1;
+    }
+
+    public long era() {
+        return era;
+    }
+
+    /** Counts up with each change of a seat. */
+    public long seatsNumber() {
+        return seatsNumber;
+    }
+
+    /** Those that have changed after that number. */
+    public List<Seat> seats(long after) {
+        return after >= seatsNumber ? List.of() : seats.values().stream().filter(seat ->
+            seatedAt.get(seat.member()) > after).toList();
+    }
+
+    /** Null where no group has used it yet. */
+    public Seat seat(String member) {
+        return seats.get(member);
+    }
+
+    /** As a snapshot held it. */
+    public void restore(long ofEra, long number, List<Seat> table) {
+        era = ofEra;
+        seatsNumber = number;
+        seats.clear();
+        seatedAt.clear();
+        table.forEach(seat -> {
+            seats.put(seat.member(), seat);
+            seatedAt.put(seat.member(), number);
+        });
+    }
+
     private void note(Chapter chapter) {
         history.addLast(chapter);
         if (history.size() > MOST_HISTORY) {
@@ -85,13 +177,19 @@
         return last;
     }
 
+    /** How many commands made it what it is: of two copies the one with more is the newer. */
+    public long changes() {
+        return changes;
+    }
+
     /** Oldest first, bounded. */
     public List<Chapter> history() {
         return new ArrayList<>(history);
     }
 
     /** As a snapshot held it. */
-    public void restore(Version force, Version onItsWay, long number, List<Chapter> chapters) {
+    public void restore(Version force, Version onItsWay, long number, long changed, List<Chapter> chapters) {
+        changes = changed;
         inForce = force;
         prepared = onItsWay;
         last = number;
--- /dev/null
+++ b/router/src/main/java/basaltlever/agree/Sight.java
@@ -0,0 +1,21 @@
+package basaltlever.agree;
+
+import java.util.List;
+
+/**
+ * What the leader tells a router of lists with a grant.
+ *
+ * @param book tells this leader's book from another's
+ * @param place up to which the marks bring the reader
+ * @param marks that the router has not read yet
+ * @param marksEnd how many of the router's own marks the leader has by now
+ * @param verdict on the list of the stamp and digest that follow
+ * @param at of the report that this answers
+ * @param digest of the report that this answers
+ * @param era in which lists are counted
+ * @param seatsNumber of the table of seats as these bring it
+ * @param seats that have changed since the number that the router has
+ */
+public record Sight(long book, long place, List<Mark> marks, long marksEnd, Verdict verdict, Stamp at,
+                    long digest, long era, long seatsNumber, List<Seat> seats) {
+}
--- a/router/src/main/java/basaltlever/config/OperatorFile.java
+++ b/router/src/main/java/basaltlever/config/OperatorFile.java
@@ -60,6 +60,7 @@
         keys.put("fleet.folder", "");
         keys.put("fleet.lease_ms", "400");
         keys.put("fleet.stated_ms", "1000");
+        keys.put("fleet.assigned_ms", "30000");
         keys.put("fleet.widest_bound_ms", "0");
         return keys;
     }
@@ -117,6 +118,7 @@
         Path place = folder(keys, "fleet.folder");
         double lease = keys.number("fleet.lease_ms", 100, 60_000);
         double stated = keys.number("fleet.stated_ms", 200, 600_000);
+        double assigned = keys.number("fleet.assigned_ms", 1_000, 86_400_000);
         if (name.isEmpty()) {
             return null;
         }
@@ -140,7 +142,12 @@
             keys.fault("fleet.stated_ms is " + (long) stated + ", less than twice fleet.lease_ms: a lease and"
                 + " what is on its way then would not be over");
         }
-        return new Terms(name, peers, voters, place, Span.ofMillis(lease), Span.ofMillis(stated));
+        if (assigned < stated) {
+            keys.fault("fleet.assigned_ms is " + (long) assigned + ", less than fleet.stated_ms: each short cut"
+                + " would take all members from a router");
+        }
+        return new Terms(name, peers, voters, place, Span.ofMillis(lease), Span.ofMillis(stated),
+            Span.ofMillis(assigned));
     }
 
     private static Map<String, InetSocketAddress> places(Keys keys, String key) {
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -86,6 +86,12 @@
         return nodeIndices.size();
     }
 
+    /** Whether no execution is out at it; so it is where nobody knows it. */
+    public boolean isIdle(N node) {
+        Integer known = nodeIndices.get(node);
+        return known == null || balance.recall.out(known) == 0;
+    }
+
     /** What was known of a node before this process, right after it is listed. */
     public void recalled(Moment now, N node, NodeView view) {
         balance.recall.recalled(now, nodeIndices.get(node), view);
--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -1,27 +1,45 @@
 package basaltlever.discovery;
 
+import basaltlever.agree.Doubt;
+import basaltlever.agree.Roll;
+import basaltlever.agree.Said;
 import basaltlever.config.Addresses;
 import basaltlever.core.Core;
 import basaltlever.gateway.Listing;
 import basaltlever.json.Json;
 import basaltlever.json.JsonFault;
+import basaltlever.log.Event;
 import basaltlever.time.Moment;
 import basaltlever.view.Known;
 import basaltlever.view.NodeView;
 import basaltlever.view.Recollection;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Takes in lists of members and changes of them, from discovery or as held at the last start. */
 public final class MemberList {
+    private static final Logger LOG = LoggerFactory.getLogger(MemberList.class);
     private static final double LONGEST = 1e15;
     private final Core<String> core;
     private final List<String> zones;
     private final BiConsumer<String, InetSocketAddress> addresses;
+    /** What the fleet makes of this list; null where this router is of none, and the list holds as it is told. */
+    private Roll roll;
+    /** By the fleet only: the latest entry of each member, and what the decisions were told of it last. */
+    private final Map<String, Map<?, ?>> latest = new LinkedHashMap<>();
+    private final Map<String, Roll.Use> used = new HashMap<>();
+    private final Map<String, Map<?, ?>> told = new HashMap<>();
+    private long applied = -1;
     private long generation;
     private Recollection recollection = Recollection.NONE;
     private Consumer<String> absent = node -> { };
@@ -64,6 +82,11 @@
             if (address != null) {
                 NodeView view = known.view();
                 addresses.accept(known.id(), address);
+                if (roll != null) {
+                    latest.put(known.id(), Map.of("instanceId", known.id(), "hostPort", known.address(), "cell",
+                        BigDecimal.valueOf(view.group())));
+                    used.put(known.id(), new Roll.Use(Listing.DRAINING, view.group()));
+                }
                 core.listed(now, known.id(), Listing.DRAINING, view.group(), -1, 1,
                     view.listedStart() == 0 ? Moment.LONG_AGO : new Moment(view.listedStart()));
                 if (view.silent() || view.isDown()) {
@@ -108,30 +131,21 @@
             number(member, "startedAtMs", 0);
         }
         generation = version;
+        if (roll != null) {
+            heed(now, entries, whole, version, asked);
+            return;
+        }
         boolean drainsBind = false;
         core.listBegins();
         for (Object entry : entries) {
             Map<?, ?> member = (Map<?, ?>) entry;
-            String id = (String) member.get("instanceId");
-            InetSocketAddress address = address(member);
-            if (address != null) {
-                addresses.accept(id, address);
-            }
-            long startedAt = (long) number(member, "startedAtMs", 0);
-            core.listed(now, id, state(member), (int) number(member, "cell", 0),
-                member.get("zone") instanceof String zone ? zones.indexOf(zone) : -1, number(member,
-                "weight", 1),
-                startedAt == 0 ? Moment.LONG_AGO : new Moment(startedAt * 1_000));
-            NodeView known = address == null ? null : recollection.of(id, Addresses.text(address),
-                startedAt * 1_000, version, asked);
-            if (known != null) {
-                core.recalled(now, id, known);
-                drainsBind |= known.drains();
-                if (known.silent() || known.isDown()) {
-                    absent.accept(id);
-                }
-            }
+            drainsBind |= list(now, member, new Roll.Use(state(member), (int) number(member, "cell", 0)), version,
+                asked);
         }
+        ends(now, drainsBind, whole, asked);
+    }
+
+    private void ends(Moment now, boolean drainsBind, boolean whole, boolean asked) {
         core.recalled(now, recollection.groups());
         if (drainsBind) {
             // Only the whole list says whether that is over: changes after this version may not name the
@@ -144,6 +158,105 @@
         core.listEnds(now, whole, asked);
     }
 
+    /** True where what an earlier process knew of the member keeps it from being used. */
+    private boolean list(Moment now, Map<?, ?> member, Roll.Use use, long version, boolean asked)
+        throws ListFault {
+        String id = (String) member.get("instanceId");
+        InetSocketAddress address = address(member);
+        if (address != null) {
+            addresses.accept(id, address);
+        }
+        long startedAt = (long) number(member, "startedAtMs", 0);
+        core.listed(now, id, use.listing(), use.group(), member.get("zone") instanceof String zone
+            ? zones.indexOf(zone) : -1, number(member, "weight", 1), startedAt == 0 ? Moment.LONG_AGO
+                : new Moment(startedAt * 1_000));
+        NodeView known = address == null ? null : recollection.of(id, Addresses.text(address),
+            startedAt * 1_000, version, asked);
+        if (known == null) {
+            return false;
+        }
+        core.recalled(now, id, known);
+        if (known.silent() || known.isDown()) {
+            absent.accept(id);
+        }
+        return known.drains();
+    }
+
+    // ---- Lists on which a fleet agrees.
+
+    /** From here on each list is taken as far as the fleet bears it out. */
+    public void agreeBy(Roll fleet) {
+        roll = fleet;
+    }
+
+    private void heed(Moment now, List<?> entries, boolean whole, long version, boolean asked) throws ListFault {
+        Map<String, Said> said = new LinkedHashMap<>();
+        for (Object entry : entries) {
+            Map<?, ?> member = (Map<?, ?>) entry;
+            String id = (String) member.get("instanceId");
+            said.put(id, new Said(state(member), (int) number(member, "cell", 0), (long) number(member,
+                "startedAtMs", 0)));
+            // One that is gone may be named without its address: it stays as it was told.
+            if (address(member) != null || !latest.containsKey(id)) {
+                latest.put(id, member);
+            }
+        }
+        Doubt doubt = roll.told(now, whole, version, said);
+        if (doubt != Doubt.NONE) {
+            Event.LIST_HELD.log(LOG, Level.WARN, "what it allows is used for nothing", doubt, version);
+        }
+        apply(now, version, asked);
+    }
+
+    /** Tells the decisions what has changed in what the fleet bears out; all of it is told at the first call. */
+    public void apply(Moment now) {
+        if (roll.revision(now) == applied) {
+            return;
+        }
+        try {
+            apply(now, generation, false);
+        } catch (ListFault impossible) {
+            // Each entry was looked through when it came.
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private void apply(Moment now, long version, boolean asked) throws ListFault {
+        applied = roll.revision(now);
+        Set<String> members = roll.members();
+        members.addAll(used.keySet());
+        boolean begun = asked;
+        boolean drainsBind = false;
+        if (asked) {
+            core.listBegins();
+        }
+        for (String id : members) {
+            Roll.Use use = roll.use(now, id);
+            Map<?, ?> entry = latest.get(id);
+            boolean isNew = entry != told.put(id, entry);
+            Roll.Use before = used.get(id);
+            if (entry == null || use.equals(before) && !isNew || before == null
+                && use.listing() == Listing.GONE) {
+                continue;
+            }
+            if (!begun) {
+                core.listBegins();
+                begun = true;
+            }
+            if (before != null && before.group() != use.group()) {
+                Event.MEMBER_MOVES.log(LOG, Level.INFO, "", id, use.group(), use.listing());
+            }
+            drainsBind |= list(now, entry, use, version, asked);
+            used.put(id, use);
+        }
+        if (begun) {
+            ends(now, drainsBind, false, asked);
+        }
+        used.values().removeIf(use -> use.listing() == Listing.GONE);
+        told.keySet().retainAll(used.keySet());
+        latest.keySet().retainAll(members);
+    }
+
     private static InetSocketAddress address(Map<?, ?> member) {
         return member.get("hostPort") instanceof String text ? Addresses.parse(text) : null;
     }
--- a/router/src/main/java/basaltlever/fleet/Engine.java
+++ b/router/src/main/java/basaltlever/fleet/Engine.java
@@ -154,6 +154,16 @@
                 case "force" -> register.bringIntoForce(number) ? "" : "it is not on its way";
                 case "withdraw" -> register.withdraw(number, Message.text(command, "why")) ? ""
                     : "it is not on its way";
+                case "seat" -> {
+                    Lists.seats(command.get("seats")).forEach(seat -> register.seat(seat.member(), seat.group(),
+                        seat.at()));
+                    yield "";
+                }
+                case "clear" -> {
+                    Lists.seats(command.get("seats")).forEach(seat -> register.clear(seat.member()));
+                    yield "";
+                }
+                case "count_anew" -> register.countAnew(number) ? "" : "it is counted anew already";
                 // A pulse, or what a later release knows: order is all that matters of it.
                 default -> "";
             };
@@ -168,6 +178,10 @@
             all.put("force", Message.of(register.inForce()));
             all.put("prepared", Message.of(register.prepared()));
             all.put("last", register.last());
+            all.put("changes", register.changes());
+            all.put("era", register.era());
+            all.put("seats_number", register.seatsNumber());
+            all.put("seats", register.seats(-1).stream().map(Lists::of).toList());
             // The texts of old versions would make a snapshot large: revert needs the latest few only.
             List<Chapter> history = register.history();
             all.put("history", history.stream().map(chapter -> {
@@ -189,8 +203,10 @@
         Map<String, Object> all = Message.read(bytes, 0, bytes.length);
         synchronized (register) {
             register.restore(Message.version(all.get("force")), Message.version(all.get("prepared")),
-                Message.number(all, "last"), all.get("history") instanceof List<?> lines ? lines.stream()
+                Message.number(all, "last"), Message.number(all, "changes"), all.get("history") instanceof List<?> lines ? lines.stream()
                     .map(line -> Message.chapter((Map<?, ?>) line)).toList() : List.of());
+            register.restore(Message.number(all, "era"), Message.number(all, "seats_number"),
+                Lists.seats(all.get("seats")));
         }
     }
 
--- a/router/src/main/java/basaltlever/fleet/Fleet.java
+++ b/router/src/main/java/basaltlever/fleet/Fleet.java
@@ -2,13 +2,16 @@
 
 import basaltlever.config.Terms;
 import basaltlever.agree.Grant;
+import basaltlever.agree.Report;
+import basaltlever.agree.Sight;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /** One instance's part in its fleet: its link, and its voter where it is one. On a loop of its own. */
 public final class Fleet implements AutoCloseable {
@@ -26,8 +29,8 @@
      * Beats is run on this fleet's loop when a beat is due, granted with each answer. Throws where the voter
      * can't be started: its folder or its ports.
      */
-    public Fleet(Terms terms, String name, SplittableRandom chance, Runnable beats, Consumer<Grant> granted)
-        throws Exception {
+    public Fleet(Terms terms, String name, SplittableRandom chance, Runnable beats,
+                 BiConsumer<Grant, Sight> granted) throws Exception {
         this.terms = terms;
         this.name = name;
         Voter own = null;
@@ -42,11 +45,13 @@
         link = new Link(terms, loop, chance, beats, granted);
     }
 
-    /** What a router says of itself; from any thread. */
-    public void beat(long number, long force, long keeps, long refused, String refusal, boolean holds) {
-        Map<String, Object> beat = Map.of("do", "beat", "fleet", terms.name(), "from", name, "incarnation",
-            incarnation, "beat", number, "force", force, "keeps", keeps, "refused", refused, "refusal",
-            refusal, "holds", holds);
+    /** What a router says of itself and of its list; from any thread. */
+    public void beat(long number, long force, long keeps, long refused, String refusal, boolean holds,
+                     Report report) {
+        Map<String, Object> beat = new LinkedHashMap<>(Map.of("do", "beat", "fleet", terms.name(), "from", name,
+            "incarnation", incarnation, "beat", number, "force", force, "keeps", keeps, "refused", refused,
+            "refusal", refusal, "holds", holds));
+        beat.put("lists", Lists.of(report));
         loop.execute(() -> link.send(beat));
     }
 
--- a/router/src/main/java/basaltlever/fleet/Link.java
+++ b/router/src/main/java/basaltlever/fleet/Link.java
@@ -2,6 +2,7 @@
 
 import basaltlever.config.Terms;
 import basaltlever.agree.Grant;
+import basaltlever.agree.Sight;
 import basaltlever.agree.Version;
 import basaltlever.log.Event;
 import basaltlever.time.Span;
@@ -15,7 +16,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -34,7 +35,7 @@
     private final EventLoop loop;
     private final SplittableRandom chance;
     private final Runnable beats;
-    private final Consumer<Grant> granted;
+    private final BiConsumer<Grant, Sight> granted;
     private final List<String> voters;
     private int asks;
     private int unanswered;
@@ -45,7 +46,8 @@
     private Version prepared;
 
     /** Beats is run when one is due, and has to bring it by {@link #send}; both on the link's loop. */
-    Link(Terms terms, EventLoop loop, SplittableRandom chance, Runnable beats, Consumer<Grant> granted) {
+    Link(Terms terms, EventLoop loop, SplittableRandom chance, Runnable beats,
+         BiConsumer<Grant, Sight> granted) {
         this.terms = terms;
         this.loop = loop;
         this.chance = chance;
@@ -142,7 +144,9 @@
                     prepared = filled(Message.version(message.get("prepared")), prepared, force);
                     if (force != null) {
                         granted.accept(new Grant(Message.number(message, "beat"),
-                            new Span(Message.number(message, "lasts")), force, prepared));
+                            new Span(Message.number(message, "lasts")), force, prepared,
+                            Message.number(message, "changes")),
+                            Lists.sight(message.get("lists")));
                     }
                 }
                 case "follows" -> {
--- a/router/src/main/java/basaltlever/fleet/Voter.java
+++ b/router/src/main/java/basaltlever/fleet/Voter.java
@@ -1,10 +1,15 @@
 package basaltlever.fleet;
 
 import basaltlever.config.Terms;
+import basaltlever.agree.Census;
+import basaltlever.agree.Census.Fork;
+import basaltlever.agree.Doubt;
 import basaltlever.agree.Grant;
 import basaltlever.agree.Leases;
 import basaltlever.agree.Leases.Peer;
 import basaltlever.agree.Leases.Step;
+import basaltlever.agree.Report;
+import basaltlever.agree.Sight;
 import basaltlever.agree.Version;
 import basaltlever.log.Event;
 import basaltlever.time.Moment;
@@ -37,21 +42,25 @@
     private static final int PULSES_A_LEASE = 4;
     private static final int MOST_CONNECTIONS = 2_100;
     private static final int KEPT_TEXTS = 3;
+    private static final int SEATS_TOLD = 5;
 
     private final Terms terms;
     private final EventLoop loop;
     private final Leases leases;
+    private final Census census;
     private final Engine engine;
     private final Channel listener;
     private int connections;
     private boolean leads;
     private boolean stepping;
     private boolean pulsing;
+    private List<Fork> forks = List.of();
 
     Voter(Terms terms, String name, EventLoop loop) throws Exception {
         this.terms = terms;
         this.loop = loop;
         leases = new Leases(terms.lease(), 2 * DRIFT);
+        census = new Census(leases, terms.peers().keySet(), terms.assigned());
         engine = new Engine(terms.name(), name, terms.voters(), terms.folder(),
             Math.max(300, terms.lease().micros() / 1_000), leads -> loop.execute(() -> leads(leads)));
         listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
@@ -81,6 +90,7 @@
         leads = now;
         if (now) {
             leases.elected(now());
+            census.elected(now(), System.nanoTime() | 1);
         } else {
             leases.resigned();
         }
@@ -105,9 +115,11 @@
 
     private void step() {
         Step step;
+        Census.Step lists;
         Map<String, Object> command = new LinkedHashMap<>();
         synchronized (engine.register) {
             step = leases.next(now(), engine.register);
+            lists = census.next(now(), engine.register);
             command.put("number", step.number());
             switch (step.kind()) {
                 case BRING_INTO_FORCE -> command.put("do", "force");
@@ -127,12 +139,45 @@
                 default -> { }
             }
         }
-        if (command.containsKey("do") && !stepping) {
-            stepping = true;
-            engine.submit(command).orTimeout(5, TimeUnit.SECONDS).whenComplete((answer, fault) ->
-                loop.execute(() -> stepping = false));
+        if (stepping) {
+            return;
+        }
+        if (command.containsKey("do")) {
+            submit(command);
             Event.FLEET_STEP.log(LOG, Level.INFO, "", step.kind(), step.number(), step.reason());
+        } else if (lists.kind() != Census.Step.Kind.NOTHING) {
+            submit(command(lists));
+            Event.FLEET_LISTS.log(LOG, Level.INFO, "", lists.kind(), lists.seats().size(), lists.seats().stream()
+                .limit(SEATS_TOLD).map(seat -> seat.member() + " in " + seat.group()).toList());
+        }
+        List<Fork> found = census.forks(now());
+        if (!found.equals(forks)) {
+            forks = found;
+            found.forEach(fork -> Event.FLEET_FORK.log(LOG, Level.WARN, "discovery tells two things",
+                fork.at().generation(), fork.holders().values()));
+        }
+    }
+
+    private Map<String, Object> command(Census.Step step) {
+        Map<String, Object> command = new LinkedHashMap<>();
+        switch (step.kind()) {
+            case SEAT -> command.put("do", "seat");
+            case CLEAR -> command.put("do", "clear");
+            default -> {
+                command.put("do", "count_anew");
+                synchronized (engine.register) {
+                    command.put("number", engine.register.era());
+                }
+            }
         }
+        command.put("seats", step.seats().stream().map(Lists::of).toList());
+        return command;
+    }
+
+    private void submit(Map<String, Object> command) {
+        stepping = true;
+        engine.submit(command).orTimeout(5, TimeUnit.SECONDS).whenComplete((answer, fault) ->
+            loop.execute(() -> stepping = false));
     }
 
     /** One connection of a router or of an operator's command. */
@@ -181,17 +226,22 @@
 
     private Map<String, Object> beat(String name, Map<String, Object> beat) {
         Grant grant;
+        Sight sight;
+        Report report = Lists.report(beat.get("lists"));
         synchronized (engine.register) {
             grant = leases.beat(now(), name, Message.number(beat, "incarnation"),
                 Message.number(beat, "beat"), Message.number(beat, "force"), Message.number(beat, "keeps"), Message.number(beat, "refused"),
                 Message.text(beat, "refusal"), Message.flag(beat, "holds"), engine.register);
+            sight = census.beat(now(), name, report, engine.register);
         }
         Map<String, Object> told = new HashMap<>();
         told.put("do", "grant");
         told.put("beat", grant.beat());
         told.put("lasts", grant.lasts().micros());
+        told.put("changes", grant.changes());
         told.put("force", without(grant.inForce(), Message.number(beat, "force")));
         told.put("prepared", without(grant.prepared(), Message.number(beat, "keeps")));
+        told.put("lists", Lists.of(sight));
         return told;
     }
 
@@ -231,9 +281,28 @@
             line.put("force", peer.inForce);
             line.put("keeps", peer.keepsTo);
             line.put("refusal", peer.refusal);
+            Report report = census.said(peer.name);
+            line.put("generation", report.at().generation());
+            line.put("digest", Long.toHexString(report.digest()));
+            line.put("list", report.doubt() == Doubt.NONE ? census.verdictOn(peer.name, now(), engine.register).name()
+                : report.doubt().name());
             peers.add(line);
         }
         told.put("peers", peers);
+        List<Map<String, Object>> parted = new ArrayList<>();
+        for (Fork fork : census.forks(now())) {
+            Map<String, Object> line = new LinkedHashMap<>();
+            line.put("generation", fork.at().generation());
+            line.put("holders", List.copyOf(fork.holders().values()));
+            parted.add(line);
+        }
+        told.put("forks", parted);
+        synchronized (engine.register) {
+            told.put("era", engine.register.era());
+            told.put("seats", engine.register.seatsNumber());
+            told.put("moving", engine.register.seats(-1).stream().filter(seat -> !seat.cleared()).map(Lists::of)
+                .toList());
+        }
         return told;
     }
 
--- a/router/src/main/java/basaltlever/net/Keeping.java
+++ b/router/src/main/java/basaltlever/net/Keeping.java
@@ -4,9 +4,12 @@
 import basaltlever.agree.Follower;
 import basaltlever.agree.Grant;
 import basaltlever.agree.Meet;
+import basaltlever.agree.Roll;
+import basaltlever.agree.Sight;
 import basaltlever.agree.Version;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
+import basaltlever.discovery.MemberList;
 import basaltlever.gateway.Agreed;
 import basaltlever.log.Event;
 import basaltlever.time.Moment;
@@ -30,15 +33,25 @@
     private final Follower follower = new Follower();
     private final StartFile own;
     private final Span widestBound;
+    private final Roll roll;
+    private final MemberList list;
     private final BiConsumer<StartFile, Agreed> keepTo;
+    /** Asks discovery for the whole list. */
+    private final Runnable asksAnew;
+    private boolean adrift = true;
+    private long era;
     private int stance;
     private StartFile force;
     private long refused;
     private String refusal = "";
 
-    /** Own is the start file as installed; keepTo is given the file in force and what holds for now. */
-    Keeping(StartFile own, Span widestBound, BiConsumer<StartFile, Agreed> keepTo) {
+    /** Own is the start file as installed; roll and list are this router's; keepTo is given the file in force and what holds for now. */
+    Keeping(StartFile own, Span widestBound, Roll roll, MemberList list, Runnable asksAnew,
+            BiConsumer<StartFile, Agreed> keepTo) {
         this.own = own;
+        this.roll = roll;
+        this.list = list;
+        this.asksAnew = asksAnew;
         this.widestBound = widestBound;
         this.keepTo = keepTo;
         force = own;
@@ -58,7 +71,7 @@
 
     /** Counts up with every other thing that is kept to; none where what is kept to is over by now. */
     int stance(Moment now) {
-        return follower.isOver(now) ? NONE : stance;
+        return follower.isOver(now) || roll.isAdrift(now) != adrift ? NONE : stance;
     }
 
     /** At the beginning of a turn. */
@@ -66,9 +79,25 @@
         if (follower.hasJustEnded(now)) {
             keep();
         }
+        if (roll.isAdrift(now) != adrift) {
+            drifts(now);
+        }
+    }
+
+    /** Without a word for so long that any member may serve another group: none is used until one comes. */
+    private void drifts(Moment now) {
+        adrift = roll.isAdrift(now);
+        stance++;
+        Event.ADRIFT.log(LOG, Level.WARN, adrift ? "no member is used" : "members are used again",
+            now.since(follower.leaseEnds()).micros() / 1_000);
+        list.apply(now);
     }
 
-    void granted(Moment now, Grant grant) {
+    /** With what the fleet makes of lists; null where its leader says nothing of them. */
+    void granted(Moment now, Grant grant, Sight sight) {
+        if (sight != null) {
+            roll.heard(now, sight);
+        }
         if (grant.prepared() != null && grant.prepared().number() != refused) {
             String fault = fault(grant.prepared());
             if (!fault.isEmpty()) {
@@ -80,9 +109,22 @@
         // A version that this router can't hold is not kept to either; the leader withdraws it for all.
         boolean takes = grant.prepared() == null || grant.prepared().number() != refused;
         if (follower.granted(now, takes ? grant : new Grant(grant.beat(), grant.lasts(), grant.inForce(),
-            null))) {
+            null, grant.changes()))) {
             keep();
         }
+        if (grant.lasts().micros() > 0) {
+            // One that was replaced without knowing it goes on answering, with nothing to give.
+            roll.leased(follower.leaseEnds());
+        }
+        if (roll.isAdrift(now) != adrift) {
+            drifts(now);
+        } else if (sight != null) {
+            list.apply(now);
+        }
+        if (roll.wantsList() && era != roll.era()) {
+            era = roll.era();
+            asksAnew.run();
+        }
     }
 
     private String fault(Version version) {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -2,6 +2,7 @@
 
 import basaltlever.agree.Follower;
 import basaltlever.agree.Meet;
+import basaltlever.agree.Roll;
 import basaltlever.config.Addresses;
 import basaltlever.config.OperatorFile;
 import basaltlever.config.StartFault;
@@ -109,6 +110,7 @@
     private Moment swept;
     private volatile Fleet fleet;
     private Keeping keeping;
+    private Roll roll;
     private PooledByteBufAllocator buffers;
 
     /** To be said before it starts: the life of each statement that takes longer goes to the log. */
@@ -123,6 +125,13 @@
         inForce = start;
         operator = with;
         keeper = keeper();
+        Span longest = start.values().longestTimeout();
+        if (with != null && with.fleet() != null && with.fleet().assigned().isShorterThan(longest.plus(
+            with.fleet().stated()))) {
+            throw new StartFault(List.of("fleet.assigned_ms is " + with.fleet().assigned().micros() / 1_000
+                + ", less than fleet.stated_ms and the longest HardLimit together: what is out at a member then"
+                + " would not be over"));
+        }
         enter(Phase.LOOKING);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = (SingleThreadEventLoop) group.next();
@@ -308,7 +317,10 @@
         }
         Promise<Void> granted = loop.newPromise();
         loop.submit(() -> {
-            keeping = new Keeping(start, operator.widestBound(), (file, holds) -> {
+            keeping = new Keeping(start, operator.widestBound(), roll, list, () -> {
+                list.forget();
+                watch.start();
+            }, (file, holds) -> {
                 if (file != inForce) {
                     adopt(file);
                 }
@@ -322,9 +334,9 @@
         }).sync();
         try {
             fleet = new Fleet(terms, start.name(), new SplittableRandom(start.seed()).split(),
-                () -> loop.execute(this::beat), grant -> loop.execute(() -> turn.hear(now -> {
-                    keeping.granted(now, grant);
-                    if (!keeping.follower().isCareful()) {
+                () -> loop.execute(this::beat), (grant, sight) -> loop.execute(() -> turn.hear(now -> {
+                    keeping.granted(now, grant, sight);
+                    if (!keeping.follower().isCareful() && roll.isSettled()) {
                         granted.trySuccess(null);
                     }
                 })));
@@ -344,7 +356,7 @@
         Moment now = turn.clock().now();
         boolean holds = !follower.isCareful() && !follower.isOver(now);
         fleet.beat(follower.beat(now), follower.inForce() == null ? 0 : follower.inForce().number(), holds
-            ? follower.keepsTo() : 0, keeping.refused(), keeping.refusal(), holds);
+            ? follower.keepsTo() : 0, keeping.refused(), keeping.refusal(), holds, roll.report(now, core::isIdle));
     }
 
     private void build() {
@@ -378,6 +390,11 @@
         heed(operator);
         list = new MemberList(core, values.zones(),
             (node, address) -> linkTo.apply(node).at(address));
+        if (operator != null && operator.fleet() != null) {
+            // What was begun before it lets go of a member is over when others may use it in another group.
+            roll = new Roll(operator.fleet().stated(), operator.fleet().assigned().minus(values.longestTimeout()));
+            list.agreeBy(roll);
+        }
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
