Fleet's lists shown between processes: run lists, fleet voters, settings diff

Need: what routers agree on lists counts only between processes, judged by servers.

Change: the laboratory's discovery is late at fewer than half of the routers, goes back, empties, is short or forked; members drain and move between groups; servers note whose statements reach them (two_groups, drained_beyond, drain_known_ms_most). `--set agrees=0` plays the same troubles without a fleet. fleet status tells each router's list, forks and members on the move; fleet voters and settings diff are new.

--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -41,6 +41,8 @@
 
     private final Scenario scenario;
     private final SplittableRandom chance;
+    /** On the world's loop. */
+    private final SplittableRandom listChance;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
         NioIoHandler.newFactory());
     private final int voters;
@@ -64,6 +66,7 @@
     public AgreementRun(Scenario scenario, long seed, Path jar, String operator) throws Exception {
         this.scenario = scenario;
         chance = new SplittableRandom(seed ^ 0x5DEECE66DL);
+        listChance = chance.split();
         voters = scenario.count("voters");
         lease = scenario.span("lease_ms");
         stated = scenario.span("stated_ms");
@@ -90,6 +93,10 @@
 
     /** A router meets the voters over its own bridges; a voter listens at its own place. */
     private String text(int router, List<Integer> engines) {
+        if (scenario.number("agrees") < 1) {
+            // The same troubles, and each router for itself: what the fleet's word is worth.
+            return "";
+        }
         List<String> peers = new ArrayList<>();
         List<String> voting = new ArrayList<>();
         for (int r = 0; r < places.size(); r++) {
@@ -102,7 +109,7 @@
         }
         return "[fleet]\nname = " + FLEET + "\npeers = " + String.join(",", peers) + "\nvoters = "
             + String.join(",", voting) + "\nfolder = {folder}/vote\nlease_ms = " + lease.micros() / 1_000
-            + "\nstated_ms = " + stated.micros() / 1_000 + "\n";
+            + "\nstated_ms = " + stated.micros() / 1_000 + "\nassigned_ms = " + scenario.count("assigned_ms") + "\n";
     }
 
     public World world() {
@@ -115,7 +122,12 @@
 
     /** Plays it to its end; the figures hold those of any run, and what became of the versions. */
     public Map<String, Object> play() throws Exception {
-        run.loop().submit(() -> run.world().ledger.excuses(this::wasStopped)).get();
+        run.loop().submit(() -> {
+            run.world().ledger.excuses(this::wasStopped);
+            run.world().ledger.agreesWithin(stated.plus(scenario.span("grace_ms")));
+            oddLists();
+            lateLists();
+        }).get();
         Thread operator = new Thread(this::operate, "operator");
         Thread trouble = new Thread(this::trouble, "trouble");
         operator.setDaemon(true);
@@ -161,6 +173,32 @@
         return figures;
     }
 
+    /** Now and then one router's discovery tells what is not so. */
+    private void oddLists() {
+        Span pause = scenario.span("odd_lists_ms");
+        if (pause.micros() > 0 && !over) {
+            run.world().time().after(pause.times(0.5 + listChance.nextDouble()), () -> {
+                run.lists(listChance.nextInt(places.size()), listChance, null);
+                oddLists();
+            });
+        }
+    }
+
+    /** Fewer than half hear of changes late, others after a while. */
+    private void lateLists() {
+        Span late = scenario.span("late_lists_ms");
+        if (late.micros() > 0 && !over) {
+            for (int r = 0; r < places.size(); r++) {
+                run.lists(r, listChance, Span.NONE);
+            }
+            for (int n = (places.size() - 1) / 2; n > 0; n--) {
+                run.lists(listChance.nextInt(places.size()), listChance, late.times(0.5 + listChance
+                    .nextDouble()));
+            }
+            run.world().time().after(late.times(2), this::lateLists);
+        }
+    }
+
     private boolean wasStopped(Ask ask) {
         return stopped.getOrDefault(ask.router, List.of()).stream()
             .anyMatch(stop -> !ask.leaves.isBefore(stop.from) && !ask.due.isAfter(stop.to));
--- a/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
+++ b/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
@@ -51,6 +51,10 @@
         RUN.put("version_ms", new double[] {1_500, 50, 600_000});
         RUN.put("lease_ms", new double[] {400, 100, 60_000});
         RUN.put("stated_ms", new double[] {1_000, 200, 600_000});
+        RUN.put("agrees", new double[] {1, 0, 1});
+        RUN.put("odd_lists_ms", new double[] {0, 0, 600_000});
+        RUN.put("late_lists_ms", new double[] {0, 0, 600_000});
+        RUN.put("assigned_ms", new double[] {30_000, 1_000, 600_000});
         RUN.put("stops_ms", new double[] {0, 0, 600_000});
         RUN.put("all_at_once_s", new double[] {0, 0, 7_200});
         RUN.put("all_share", new double[] {1, 0, 1});
--- a/lab/src/main/java/basaltlever/lab/sockets/ListFront.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/ListFront.java
@@ -16,17 +16,24 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.function.Function;
 
 /** Discovery for one router: the whole list at each change, on a watch that stays open. */
 final class ListFront {
+    /** What a discovery may tell that is not so. */
+    enum Odd { EMPTY, SHORT, BACK, FORKED }
+
+    private static final int FORMER = 4;
     private static final Span STILL = Span.ofMillis(2_000);
     private final World world;
     private final int router;
     private final Function<Server, String> addresses;
     private final ChannelGroup watches;
     private final Channel listening;
-    private long generation = 1;
+    private Span late = Span.NONE;
+    /** Lists of former generations, for one that goes back. */
+    private final ArrayDeque<String> former = new ArrayDeque<>();
 
     ListFront(World world, int router, EventLoop loop, Function<Server, String> addresses)
             throws InterruptedException {
@@ -50,7 +57,7 @@
     }
 
     String list() {
-        return world.listText(generation, addresses);
+        return world.listText(addresses);
     }
 
     private void still() {
@@ -61,13 +68,42 @@
     }
 
     private void tell() {
-        generation++;
-        if (!watches.isEmpty()) {
-            watches.writeAndFlush(chunk(list() + "\n"));
-            told();
+        String list = list();
+        former.addLast(list);
+        if (former.size() > FORMER) {
+            former.removeFirst();
+        }
+        Runnable says = () -> {
+            if (!watches.isEmpty()) {
+                watches.writeAndFlush(chunk(list + "\n"));
+                told();
+            }
+        };
+        if (late.micros() > 0) {
+            world.time().after(late, says);
+        } else {
+            says.run();
         }
     }
 
+    /** From here on this router hears of each change so much later; what was on its way goes on. */
+    void isLate(Span by) {
+        late = by;
+    }
+
+    /** Something that is not so, once; the next change is told as it is. */
+    void tells(Odd what) {
+        String list = list();
+        String odd = switch (what) {
+            case EMPTY -> list.substring(0, list.indexOf('[') + 1) + "]}";
+            case SHORT -> list.substring(0, list.indexOf("},{", list.indexOf('[')) + 1) + "]}";
+            case BACK -> former.isEmpty() ? list : former.peekFirst();
+            // Under the generation that the others hold: nobody drains, and members are of other groups.
+            case FORKED -> list.replace("terminating", "in_service").replaceAll("\"cell\":1,", "\"cell\":2,");
+        };
+        watches.writeAndFlush(chunk(odd + "\n"));
+    }
+
     private void told() {
         for (Server server : world.servers()) {
             server.drainWasTold(router, world.now());
--- a/lab/src/main/java/basaltlever/lab/sockets/NodeFront.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/NodeFront.java
@@ -160,7 +160,7 @@
                 Rows.row(out, String.format(java.util.Locale.ROOT, "x0=%.6f,x1=%d,utilization=%.3f",
                     server.position(world.now()), server.saysPrimary() ? 1 : 0, server.util()));
             } else if (query.equals(Note.query(table))) {
-                Note note = server.group.note();
+                Note note = server.group().note();
                 Rows.row(out, note == null ? "" : note.text());
             } else if (insert.matches()) {
                 Note note = new Note(Long.parseLong(insert.group(1)), insert.group(2),
@@ -182,10 +182,10 @@
 
         private boolean write(Note note) {
             if (note.off()) {
-                server.group.callOff();
+                server.group().callOff();
                 return true;
             }
-            return server.group.announce(note, SETTLES);
+            return server.group().announce(note, SETTLES);
         }
 
         private void error(ChannelHandlerContext context, String code, String text) {
--- a/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
@@ -41,6 +41,8 @@
     private final EventLoop loop = group.next();
     private final Path folder = Files.createTempDirectory("lab");
     private final List<RouterProcess> routers = new ArrayList<>();
+    private final List<ListFront> lists = new ArrayList<>();
+    private int oddLists;
     private boolean restarting;
     private int restarts;
     private final World world;
@@ -78,6 +80,7 @@
             }
             loop.submit(() -> fronts.forEach(Server::listens)).get();
             ListFront list = new ListFront(world, r, loop, server -> fronts.get(server).address());
+            lists.add(list);
             routers.add(new RouterProcess("n" + (r + 1), folder, jar, List.of(), r == 0 && port > 0 ? port
                 : RouterProcess.freePort(),
                 list.address(), chance.nextLong(), list.list(), settings(r, false),
@@ -124,6 +127,17 @@
         return routers;
     }
 
+    /** A router's discovery tells something that is not so, or all that it tells comes late from here on. */
+    public void lists(int router, SplittableRandom chance, Span late) {
+        ListFront list = lists.get(router);
+        if (late == null) {
+            oddLists++;
+            list.tells(ListFront.Odd.values()[chance.nextInt(ListFront.Odd.values().length)]);
+        } else {
+            list.isLate(late);
+        }
+    }
+
     /** Plays it to its end, and some seconds more, in which what is late may still come. */
     public Map<String, Object> play() throws Exception {
         List<InetSocketAddress> addresses = routers.stream().map(RouterProcess::address).toList();
@@ -164,6 +178,7 @@
         figures.put("cpu_us_a_statement", (routers.stream().mapToDouble(RouterProcess::cpuMicros).sum() - cpu)
             / Math.max(1, ((Number) figures.get("statements")).doubleValue()));
         figures.put("routers_restarted", restarts);
+        figures.put("odd_lists", oddLists);
         figures.put("switches", switches);
         figures.put("routers_died", routers.stream().filter(router -> !router.process().isAlive()).count());
         return figures;
--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
@@ -110,7 +110,7 @@
                 server.drainWasTold(number, now);
                 core.listed(now, server.id, server.listed().equals("in_service")
                     || bug == Bug.IGNORES_DRAINS ? Listing.READY : Listing.DRAINING,
-                    server.group.number, 0, 1, server.startedMillis() == 0 ? Moment.LONG_AGO
+                    server.group().number, 0, 1, server.startedMillis() == 0 ? Moment.LONG_AGO
                         : new Moment(server.startedMillis() * 1_000));
             }
             core.listEnds(now, true, true);
@@ -302,7 +302,7 @@
         for (Server server : world.servers()) {
             if ((server.number + reads) % 3 == 0 && server.isUp() && !server.isHung()
                 && !world.isCut(number, server)) {
-                Note note = server.group.note();
+                Note note = server.group().note();
                 if (note != null) {
                     turn(() -> core.announced(world.now(), server.id, note.number(), note.target(),
                         new Moment(note.atMillis() * 1_000), note.off()));
--- a/lab/src/main/java/basaltlever/lab/world/Faults.java
+++ b/lab/src/main/java/basaltlever/lab/world/Faults.java
@@ -13,7 +13,7 @@
     public enum Kind {
         DIE, HANG, COMMIT_HANG, DEMOTE, SWITCH, SWITCH_THEN_DIE, SWITCH_CALLED_OFF, SWITCH_NEVER, DOUBLE,
             REPLICA_DIES,
-        DRAIN, LAG, SLOW, RESET, SPOIL, CUT, REFUSE, FLOOD, RESTART;
+        DRAIN, LAG, SLOW, RESET, SPOIL, CUT, REFUSE, FLOOD, RESTART, MOVE;
 
         public static Kind named(String name) {
             for (Kind kind : values()) {
@@ -158,6 +158,12 @@
             case SPOIL -> leader.spoilsAnswers = 3;
             case CUT -> world.cut(chance.nextInt(routers), chance.nextBoolean() ? leader : replica, LASTS);
             case REFUSE -> leader.refuse(LASTS);
+            case MOVE -> {
+                // Two stay, so that one can take over from the other.
+                if (group.members.size() > 2 && world.groups().size() > 1) {
+                    world.move(replica);
+                }
+            }
             case RESTART -> world.restart(chance.nextInt(routers));
             case FLOOD -> {
                 floods.put(group.number, 4.0);
--- a/lab/src/main/java/basaltlever/lab/world/Ledger.java
+++ b/lab/src/main/java/basaltlever/lab/world/Ledger.java
@@ -5,6 +5,8 @@
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,6 +43,9 @@
     private Predicate<Ask> stopped = ask -> false;
     private final Series series;
     private Span longestWrite = Span.NONE;
+    private Span longestKnown = Span.NONE;
+    /** Null where routers agree on nothing. */
+    private Span fleetWithin;
 
     public Ledger(Span drainGrace, Moment countsFrom, Series series) {
         this.countsFrom = countsFrom;
@@ -49,7 +54,7 @@
         for (String name : List.of("statements", "completed", "rejected", "aborted", "left", "unanswered",
             "lost",
             "doubled", "rejected_ran", "aborts_unjustified", "stale", "late_to_draining",
-            "cold_toppled", "copied",
+            "cold_toppled", "copied", "drained_beyond", "two_groups",
             "answered_late", "at_stopped", "in_time")) {
             counts.put(name, 0);
         }
@@ -73,7 +78,7 @@
         return open.get(id);
     }
 
-    Execution reached(Ask ask, Server server, Moment now, Moment drainTold) {
+    Execution reached(Ask ask, Server server, Moment now, Moment drainTold, Moment[] toldAll) {
         Execution execution = new Execution(ask, ask.executions.size(), server, now);
         ask.executions.add(execution);
         if (execution.number > 0 && repeats.size() < MOST_REPEATS) {
@@ -84,9 +89,30 @@
             broken("late_to_draining", ask.id + " reached " + server.id + " "
                 + now.since(drainTold).micros() / 1_000 + " ms after its drain was told");
         }
+        // Of all routers: most have been told by then.
+        Moment[] sorted = toldAll.clone();
+        Arrays.sort(sorted, Comparator.comparingLong(Moment::micros));
+        Span known = now.since(sorted[sorted.length / 2]);
+        if (known.micros() > 0) {
+            longestKnown = longestKnown.longer(known);
+            if (fleetWithin != null && known.isLongerThan(fleetWithin)) {
+                broken("drained_beyond", ask.id + " of router " + ask.router + " reached " + server.id + " "
+                    + known.micros() / 1_000 + " ms after most routers were told of its drain");
+            }
+        }
         return execution;
     }
 
+    void servedTwo(Ask ask, Server server) {
+        broken("two_groups", ask.id + " of router " + ask.router + " reached " + server.id + " for group "
+            + ask.group + " beside another's");
+    }
+
+    /** Routers are held to know within so long what most were told; judged only from here on. */
+    public void agreesWithin(Span span) {
+        fleetWithin = span;
+    }
+
     void ran(Execution execution) {
         execution.effect = true;
         int before = effects.merge(execution.of.key, 1, Integer::sum) - 1;
@@ -216,6 +242,7 @@
             figures.put("p50_ms." + name, own.getValueAtPercentile(50) / 1e3);
             figures.put("p99_ms." + name, own.getValueAtPercentile(99) / 1e3);
         });
+        figures.put("drain_known_ms_most", longestKnown.micros() / 1e3);
         figures.put("longest_write_ms", longestWrite.micros() / 1e3);
         figures.put("write_pause_p99_ms", series.pause(99));
         figures.put("write_pauses", series.pauses());
--- a/lab/src/main/java/basaltlever/lab/world/Server.java
+++ b/lab/src/main/java/basaltlever/lab/world/Server.java
@@ -61,7 +61,11 @@
 
     public final String id;
     public final int number;
-    public final Shard group;
+    Shard group;
+    /** The group whose statement came last, and how often that was another than before. */
+    private int lastGroup;
+    private int turns;
+    private int moves;
     private final World world;
     private final int cores;
     private final ArrayDeque<Work> queue = new ArrayDeque<>();
@@ -99,6 +103,16 @@
         java.util.Arrays.fill(drainTold, Moment.NEVER);
     }
 
+    public Shard group() {
+        return group;
+    }
+
+    /** It has the data of both until its routers have let go of it. */
+    void moves(Shard to) {
+        group = to;
+        moves++;
+    }
+
     public void listens(Listener more) {
         if (listeners.size() >= forgetsAt) {
             listeners.removeIf(Listener::isOver);
@@ -179,7 +193,16 @@
      */
     public Runnable ask(Ask ask, Reply reply) {
         Moment now = world.now();
-        Work work = new Work(world.ledger.reached(ask, this, now, drainTold[ask.router]), reply);
+        Work work = new Work(world.ledger.reached(ask, this, now, drainTold[ask.router], drainTold), reply);
+        if (lastGroup != ask.group) {
+            turns += lastGroup == 0 ? 0 : 1;
+            lastGroup = ask.group;
+        }
+        if (turns > moves || running.stream().anyMatch(other -> other.execution.of.group != ask.group
+            && !other.dropped)) {
+            turns = Math.min(turns, moves);
+            world.ledger.servedTwo(ask, this);
+        }
         if (hung) {
             stuck.add(work);
         } else {
@@ -198,7 +221,8 @@
 
     private void admit(Work work, Moment now) {
         Ask ask = work.execution.of;
-        if (ask.kind.isWrite() && (!claims || refusesWrites || group.leader != this)) {
+        if (ask.kind.isWrite() && (!claims || refusesWrites || group.leader != this
+            || ask.group != group.number)) {
             notRun(work, NOT_PRIMARY);
         } else if (!listed.equals("in_service") && !ask.kind.isWrite()
             || queue.size() >= QUEUE_FOR_CORE * cores) {
@@ -231,7 +255,7 @@
         return switch (ask.kind.needs()) {
             case "session" -> ask.after * 1_000 > has.micros();
             case "bounded" -> now.since(has).isLongerThan(ask.kind.bound());
-            case "fresh" -> group.leader != this;
+            case "fresh" -> group.leader != this || ask.group != group.number;
             default -> false;
         };
     }
@@ -284,7 +308,7 @@
             }
         } else {
             execution.served = true;
-            execution.stale = group.isStale(execution, has);
+            execution.stale = world.shard(execution.of.group).isStale(execution, has);
             answer(work, millis(now));
         }
         next(now);
--- a/lab/src/main/java/basaltlever/lab/world/World.java
+++ b/lab/src/main/java/basaltlever/lab/world/World.java
@@ -32,6 +32,8 @@
     /** One way of one router to one server that is cut, as router * 1,000 + server. */
     private final java.util.Set<Integer> cut = new java.util.HashSet<>();
     private long notes;
+    /** Of the list that discovery tells. */
+    private long generation = 1;
     private boolean abrupt;
     private java.util.function.IntConsumer restarts = router -> { };
 
@@ -147,9 +149,32 @@
     void list(Server server, String state) {
         server.listed = state;
         mark(server.id + " " + state);
+        tellsList();
+    }
+
+    private void tellsList() {
+        generation++;
         listChanges.forEach(Runnable::run);
     }
 
+    /** A replica belongs to the next group from here on; routers learn it from their lists. */
+    void move(Server server) {
+        Shard to = groups.get(server.group.number % groups.size());
+        server.group.members.remove(server);
+        to.members.add(server);
+        server.moves(to);
+        mark(server.id + " moves to " + to.number);
+        tellsList();
+    }
+
+    Shard shard(int number) {
+        return groups.get(number - 1);
+    }
+
+    public long generation() {
+        return generation;
+    }
+
     public boolean isCut(int router, Server server) {
         return cut.contains(router * 1_000 + server.number);
     }
@@ -175,7 +200,7 @@
     }
 
     /** The list as discovery gives it, with the addresses that one router uses. */
-    public String listText(long generation, java.util.function.Function<Server, String> address) {
+    public String listText(java.util.function.Function<Server, String> address) {
         StringBuilder text = new StringBuilder("{\"generation\":" + generation
             + ",\"reset\":true,\"instances\":[");
         for (Server server : servers) {
--- a/router/src/main/java/basaltlever/cli/FleetCommand.java
+++ b/router/src/main/java/basaltlever/cli/FleetCommand.java
@@ -1,5 +1,6 @@
 package basaltlever.cli;
 
+import basaltlever.config.Addresses;
 import basaltlever.config.OperatorFile;
 import basaltlever.config.StartFault;
 import basaltlever.config.Terms;
@@ -15,13 +16,16 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.StringWriter;
+import java.math.BigDecimal;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** Versions of a fleet's settings, and who is there: what the voters tell, by the operator's file. */
 final class FleetCommand {
@@ -62,10 +66,20 @@
     private static final class History extends Where {
     }
 
-    @Parameters(commandDescription = "Shows who is there, each one's version and lease")
+    @Parameters(commandDescription = "Shows what differs between two versions, key by key")
+    private static final class Diff extends Where {
+        @Parameter(description = "A B", required = true)
+        List<String> numbers = new ArrayList<>();
+    }
+
+    @Parameters(commandDescription = "Shows who is there, each one's version, lease and list")
     private static final class Peers extends Where {
     }
 
+    @Parameters(commandDescription = "Shows each voter, who leads and how far its log has come")
+    private static final class Voters extends Where {
+    }
+
     /** Told to the user as it is. */
     private static final class Refusal extends Exception {
         private static final long serialVersionUID = 1L;
@@ -81,7 +95,9 @@
     private final Revert revert = new Revert();
     private final Status status = new Status();
     private final History history = new History();
+    private final Diff diff = new Diff();
     private final Peers peers = new Peers();
+    private final Voters voters = new Voters();
     private JCommander settings;
     private JCommander fleet;
 
@@ -91,24 +107,29 @@
         settings.addCommand("revert", revert);
         settings.addCommand("status", status);
         settings.addCommand("history", history);
+        settings.addCommand("diff", diff);
         fleet = main.getCommands().get("fleet");
         fleet.addCommand("status", peers);
+        fleet.addCommand("voters", voters);
     }
 
     int run(String of, PrintStream out, PrintStream err) {
         String command = (of.equals("fleet") ? fleet : settings).getParsedCommand();
         try {
             if (command == null) {
-                throw new Refusal(MISUSED, of.equals("fleet") ? "fleet takes status"
-                    : "settings takes propose, revert, status or history");
+                throw new Refusal(MISUSED, of.equals("fleet") ? "fleet takes status or voters"
+                    : "settings takes propose, revert, status, history or diff");
             }
-            if (of.equals("fleet")) {
+            if (command.equals("voters")) {
+                return tellVoters(out);
+            } else if (of.equals("fleet")) {
                 tellPeers(out);
             } else {
                 switch (command) {
                     case "propose" -> propose(out, propose, content(propose.files));
                     case "revert" -> propose(out, revert, earlier());
                     case "status" -> tellStatus(out);
+                    case "diff" -> tellDiff(out);
                     default -> tellHistory(out);
                 }
             }
@@ -179,25 +200,115 @@
         }
     }
 
-    private String earlier() throws Refusal, StartFault {
-        long number;
+    private static long number(String command, String text) throws Refusal {
         try {
-            number = Long.parseLong(revert.files.get(0));
-        } catch (RuntimeException fault) {
-            throw new Refusal(MISUSED, "revert takes the number of a version");
+            return Long.parseLong(text);
+        } catch (NumberFormatException fault) {
+            throw new Refusal(MISUSED, command + " takes the number of a version, not " + text);
         }
+    }
+
+    private String earlier() throws Refusal, StartFault {
+        if (revert.files.size() != 1) {
+            throw new Refusal(MISUSED, "revert takes the number of one version");
+        }
+        return content(told(terms(revert)), number("revert", revert.files.get(0)));
+    }
+
+    /** What a version held; nothing for the start files' own. */
+    private static String content(Map<String, Object> told, long number) throws Refusal {
         if (number == 0) {
             return "";
         }
-        for (Object line : (List<?>) told(terms(revert)).get("history")) {
+        if (told.get("force") instanceof Map<?, ?> force && Message.number(force, "number") == number) {
+            return Message.text(force, "text");
+        }
+        for (Object line : (List<?>) told.get("history")) {
             Map<?, ?> chapter = (Map<?, ?>) line;
-            if (Message.number(chapter, "number") == number
-                && Message.text(chapter, "end").equals("IN_FORCE")) {
+            if (Message.number(chapter, "number") == number && Message.text(chapter, "end").equals("IN_FORCE")
+                && chapter.containsKey("text")) {
                 return Message.text(chapter, "text");
             }
         }
         throw new Refusal(REFUSED, "version " + number
-            + " was never in force, or is not remembered any more");
+            + " was never in force, or its content is not remembered any more");
+    }
+
+    private void tellDiff(PrintStream out) throws Refusal, StartFault, IOException {
+        if (diff.numbers.size() != 2) {
+            throw new Refusal(MISUSED, "diff takes two numbers of versions");
+        }
+        Map<String, Object> told = told(terms(diff));
+        List<Map<String, Object>> leaves = new ArrayList<>();
+        for (String number : diff.numbers) {
+            Map<String, Object> flat = new TreeMap<>();
+            String text = content(told, number("diff", number));
+            try {
+                flatten("", text.isEmpty() ? Map.of() : Json.read(text), flat);
+            } catch (JsonFault fault) {
+                throw new Refusal(REFUSED, "version " + number + " is no JSON: " + fault.getMessage());
+            }
+            leaves.add(flat);
+        }
+        Map<String, Object> differs = new TreeMap<>();
+        StringBuilder text = new StringBuilder();
+        TreeSet<String> keys = new TreeSet<>(leaves.get(0).keySet());
+        keys.addAll(leaves.get(1).keySet());
+        for (String key : keys) {
+            Object before = leaves.get(0).get(key);
+            Object after = leaves.get(1).get(key);
+            if (!Objects.equals(before, after)) {
+                differs.put(key, List.of(String.valueOf(before), String.valueOf(after)));
+                text.append(text.isEmpty() ? "" : "\n").append(key).append(": ").append(before).append(" -> ")
+                    .append(after);
+            }
+        }
+        tell(out, diff, differs, text.isEmpty() ? "nothing differs" : text.toString());
+    }
+
+    private static void flatten(String key, Object value, Map<String, Object> into) {
+        if (value instanceof Map<?, ?> members && !members.isEmpty()) {
+            members.forEach((name, member) -> flatten(key.isEmpty() ? "" + name : key + "." + name, member, into));
+        } else if (value instanceof List<?> items && !items.isEmpty()) {
+            for (int i = 0; i < items.size(); i++) {
+                flatten(key + "." + i, items.get(i), into);
+            }
+        } else if (!key.isEmpty()) {
+            into.put(key, value instanceof BigDecimal number ? number.stripTrailingZeros().toPlainString()
+                : String.valueOf(value));
+        }
+    }
+
+    /** 1 where no majority answers. */
+    private int tellVoters(PrintStream out) throws Refusal, StartFault, IOException {
+        Terms terms = terms(voters);
+        List<Map<String, Object>> lines = new ArrayList<>();
+        StringBuilder text = new StringBuilder();
+        int answer = 0;
+        for (String voter : terms.voters().keySet()) {
+            Map<String, Object> line = new LinkedHashMap<>();
+            line.put("name", voter);
+            line.put("at", Addresses.text(terms.voters().get(voter)));
+            try {
+                Map<String, Object> told = Call.ask(terms.peers().get(voter), Map.of("do", "status", "fleet",
+                    terms.name()));
+                line.put("leads", Message.flag(told, "leads"));
+                line.put("standing", told.containsKey("standing") ? Message.text(told, "standing")
+                    : Message.text(told, "why"));
+                answer++;
+            } catch (IOException silent) {
+                line.put("leads", false);
+                line.put("standing", "does not answer: " + silent.getMessage());
+            }
+            lines.add(line);
+            text.append("%-16s %-22s %-7s %s%n".formatted(voter, line.get("at"), Boolean.TRUE.equals(line.get(
+                "leads")) ? "leads" : "", line.get("standing")));
+        }
+        boolean most = 2 * answer > terms.voters().size();
+        text.append(answer).append(" of ").append(terms.voters().size()).append(most ? " answer"
+            : " answer: no majority, so nothing comes into force and routers are careful");
+        tell(out, voters, Map.of("voters", lines, "majority", most), text.toString());
+        return most ? 0 : REFUSED;
     }
 
     private void propose(PrintStream out, Propose of, String text) throws Refusal, StartFault, IOException,
@@ -273,8 +384,8 @@
     private void tellPeers(PrintStream out) throws Refusal, StartFault, IOException {
         Terms terms = terms(peers);
         Map<String, Object> told = told(terms);
-        StringBuilder text = new StringBuilder("%-16s %8s %9s %9s %9s  %s".formatted("router", "version",
-            "keeps to", "lease ms", "heard ms", "turned down"));
+        StringBuilder text = new StringBuilder("%-16s %8s %9s %9s %9s %10s %-9s %s".formatted("router", "version",
+            "keeps to", "lease ms", "heard ms", "list", "is", "turned down"));
         Map<String, Object> seen = new TreeMap<>();
         for (Object line : (List<?>) told.get("peers")) {
             Map<?, ?> peer = (Map<?, ?>) line;
@@ -283,12 +394,23 @@
         for (String name : terms.peers().keySet()) {
             Map<?, ?> peer = (Map<?, ?>) seen.get(name);
             text.append("\n").append(peer == null ? "%-16s is not there".formatted(name)
-                : "%-16s %8d %9d %9d %9d  %s".formatted(name, Message.number(peer, "force"),
-                    Message.number(peer, "keeps"), Message.number(peer, "lease_ms"), Message.number(peer, "heard_ms_ago"),
+                : "%-16s %8d %9d %9d %9d %10d %-9s %s".formatted(name, Message.number(peer, "force"),
+                    Message.number(peer, "keeps"), Message.number(peer, "lease_ms"), Message.number(peer,
+                    "heard_ms_ago"), Message.number(peer, "generation"), Message.text(peer, "list"),
                     Message.text(peer, "refusal")));
         }
+        for (Object line : told.get("forks") instanceof List<?> forks ? forks : List.of()) {
+            Map<?, ?> fork = (Map<?, ?>) line;
+            text.append("\ndiscovery tells two things as generation ").append(Message.number(fork, "generation"))
+                .append(": ").append(fork.get("holders"));
+        }
+        for (Object line : told.get("moving") instanceof List<?> moving ? moving : List.of()) {
+            Map<?, ?> seat = (Map<?, ?>) line;
+            text.append("\n").append(Message.text(seat, "member")).append(" moves to group ").append(
+                Message.number(seat, "group")).append(": not used until every router has let go of it");
+        }
         text.append("\ntold by ").append(told.get("voter")).append(", ").append(told.get("standing"));
-        told.keySet().retainAll(List.of("voter", "leads", "standing", "peers"));
+        told.keySet().retainAll(List.of("voter", "leads", "standing", "peers", "forks", "moving", "era"));
         tell(out, peers, told, text.toString());
     }
 
