--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Router processes that agree on versions of their settings, while they are stopped, ended and cut from their
@@ -53,6 +54,8 @@
     private final SocketRun run;
     private final Span lease;
     private final Span stated;
+    /** Between routers and voters, both ways, but for those of a voter with itself. */
+    private final LongAdder bytes = new LongAdder();
     private volatile boolean over;
     private int inForce;
     private int refused;
@@ -80,7 +83,7 @@
         for (int r = 0; r < places.size(); r++) {
             bridges.add(new ArrayList<>());
             for (int v = 0; v < voters; v++) {
-                bridges.get(r).add(new Bridge(group.next(), places.get(v)));
+                bridges.get(r).add(new Bridge(group.next(), places.get(v), bytes));
             }
         }
         try {
@@ -134,7 +137,11 @@
         trouble.setDaemon(true);
         operator.start();
         trouble.start();
+        long before = bytes.sum();
+        long since = System.nanoTime();
         Map<String, Object> figures = run.play();
+        figures.put("fleet_bytes_a_router_s", (bytes.sum() - before) / places.size() / ((System.nanoTime() - since)
+            / 1e9));
         over = true;
         for (RouterProcess router : run.routers()) {
             if (!router.process().isAlive()) {
--- a/lab/src/main/java/basaltlever/lab/fleet/Bridge.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/Bridge.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * The way from one router to one voter, where it can be cut in either direction, slowed, or made to pass a
@@ -27,10 +28,13 @@
     private final EventLoop loop;
     private final InetSocketAddress to;
     private final Channel listener;
+    private final LongAdder bytes;
     private volatile State state = State.OPEN;
 
-    Bridge(EventLoop loop, InetSocketAddress to) throws InterruptedException {
+    /** What is read from either side is added to the bytes. */
+    Bridge(EventLoop loop, InetSocketAddress to, LongAdder bytes) throws InterruptedException {
         this.loop = loop;
+        this.bytes = bytes;
         this.to = to;
         listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
             .childHandler(new ChannelInitializer<Channel>() {
@@ -73,6 +77,7 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object read) {
             ByteBuf in = (ByteBuf) read;
+            bytes.add(in.readableBytes());
             State now = state;
             lost |= now == State.CUT || now == (there ? State.CUT_THERE : State.CUT_BACK);
             if (lost) {
--- a/router/src/test/java/basaltlever/OperatorTest.java
+++ b/router/src/test/java/basaltlever/OperatorTest.java
@@ -98,6 +98,8 @@
         check(faults(fleet + "voters = n1@127.0.0.1:4,n2@127.0.0.1:5\n").contains("half is no"), "two voters");
         check(faults(fleet + "voters = n9@127.0.0.1:4\n").contains("names n9"), "a voter that is no peer");
         check(faults(fleet + "voters = n1\n").contains("NAME@ADDRESS:PORT"), "a voter without a place");
+        check(faults(fleet + voters + "stated_ms = 5000\nassigned_ms = 4000\n").contains("fleet.assigned_ms is 4000"),
+            "each cut would take all members");
         check(faults(fleet + voters + "lease_ms = 800\n").contains("less than twice"), "no time to be over");
         check(faults(fleet.replace("folder = /x", "folder =") + voters).contains("fleet.folder"), "no folder");
         check(faults(fleet.replace("n2@", "n1@") + voters).contains("twice"), "a name given twice");
