Large fleets in virtual time: fleet-scale; a former leader's register has its own test

Need: what 500 routers cost the voter that leads, and how long a version, a drain and a move take there, was not measured.

Direct tests of an older register, of a list held off, of what waits.

--- a/lab/src/main/java/basaltlever/lab/Main.java
+++ b/lab/src/main/java/basaltlever/lab/Main.java
@@ -1,9 +1,11 @@
 package basaltlever.lab;
 
+import basaltlever.lab.fleet.FleetScale;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import java.util.Map;
 
 /** The laboratory's command line. Exit 0 where all that was stated held, 1 where not, 2 for bad input. */
 public final class Main {
@@ -33,13 +35,14 @@
         Scenarios list = new Scenarios();
         Compare compare = new Compare();
         PairedPlays pairedPlays = new PairedPlays();
+        FleetScale fleetScale = new FleetScale();
         Demo demo = new Demo();
         BareRelay bare = new BareRelay();
         JCommander line = JCommander.newBuilder().programName("basaltlever-lab")
             .addCommand("kill-state", killState).addCommand("write-views", writer)
             .addCommand("restart-paired", restartPaired).addCommand("view-cost", viewCost)
             .addCommand("run", run).addCommand("list", list).addCommand("compare", compare)
-            .addCommand("paired-plays", pairedPlays)
+            .addCommand("paired-plays", pairedPlays).addCommand("fleet-scale", fleetScale)
             .addCommand("demo", demo).addCommand("bare", bare)
             .addCommand("help", new Help()).build();
         try {
@@ -58,6 +61,14 @@
             case "list" -> list.run();
             case "compare" -> System.exit(compare.run());
             case "paired-plays" -> System.exit(pairedPlays.run());
+            case "fleet-scale" -> {
+                boolean kept = true;
+                for (Map<String, Object> told : fleetScale.play()) {
+                    Figures.tell(told, null);
+                    kept &= told.get("contradictions").equals(0);
+                }
+                System.exit(kept ? 0 : 1);
+            }
             case "bare" -> basaltlever.lab.sockets.Bare.run(bare.port, bare.to);
             case "demo" -> System.exit(demo.run());
             case "help" -> line.usage();
--- a/router/src/test/java/basaltlever/agree/AgreementTest.java
+++ b/router/src/test/java/basaltlever/agree/AgreementTest.java
@@ -2,6 +2,7 @@
 
 import static basaltlever.StandIn.check;
 
+import basaltlever.time.Moment;
 import java.util.EnumSet;
 import net.jqwik.api.Example;
 
@@ -29,4 +30,22 @@
             check(found, bug + " was not found");
         }
     }
+
+    /** It was replaced without knowing it, and knows nothing of what its successor was promised. */
+    @Example
+    void aFormerLeadersOlderRegisterUndoesNoPromise() {
+        Version force = new Version(12, "", 1, "", "", 0);
+        Version next = new Version(13, "", 1, "", "", 0);
+        Follower follower = new Follower();
+        follower.granted(at(0), new Grant(follower.beat(at(0)), FleetRun.LEASE, force, next, 5));
+        check(follower.keepsTo() == 13, "it keeps to what is on its way");
+        boolean taken = follower.granted(at(9), new Grant(follower.beat(at(9)), FleetRun.LEASE, force, null, 4));
+        check(!taken && follower.keepsTo() == 13, "it keeps to it still, under the lease that goes on");
+        follower.granted(at(9), new Grant(follower.beat(at(9)), FleetRun.LEASE, force, null, 6));
+        check(follower.keepsTo() == 0, "it was withdrawn");
+    }
+
+    private static Moment at(long millis) {
+        return new Moment(millis * 1_000);
+    }
 }
--- a/router/src/test/java/basaltlever/agree/ListsTest.java
+++ b/router/src/test/java/basaltlever/agree/ListsTest.java
@@ -463,4 +463,46 @@
             check(found, bug + " was not found");
         }
     }
+
+    private static Map<String, Said> list(Listing listing, int group) {
+        return Map.of("m", new Said(listing, group, 0), "n", new Said(Listing.READY, 1, 0));
+    }
+
+    private static Sight sight(long book, long seats, Report of, Verdict verdict) {
+        return new Sight(book, 0, List.of(), of.marksEnd(), verdict, of.at(), of.digest(), 0, seats, List.of(
+            new Seat("m", 1, new Stamp(0, 1), true), new Seat("n", 1, new Stamp(0, 1), true)));
+    }
+
+    /** What it wants of the list that it keeps was once told with the digest of one that it held off. */
+    @Example
+    void whoHoldsAListOffWantsNothingOfAnother() {
+        Moment now = new Moment(1_000_000);
+        Roll roll = new Roll(Span.ofMillis(1_000), ASSIGNED);
+        roll.told(now, true, 5, list(Listing.READY, 2));
+        roll.heard(now, sight(1, 1, roll.report(now, member -> true), Verdict.SEEN));
+        check(roll.report(now, member -> true).wanted().size() == 1, "its list has a member elsewhere");
+        check(roll.told(now, true, 4, list(Listing.READY, 1)) == Doubt.BACK, "it goes back");
+        check(roll.report(now, member -> true).wanted().isEmpty(), "and says nothing of groups");
+    }
+
+    @Example
+    void whatAListForbidsBindsAtOnceAndWhatItAllowsWaits() {
+        Moment now = new Moment(1_000_000);
+        Roll roll = new Roll(Span.ofMillis(1_000), ASSIGNED);
+        roll.told(now, true, 2, list(Listing.READY, 1));
+        roll.heard(now, sight(1, 1, roll.report(now, member -> true), Verdict.SEEN));
+        roll.leased(now);
+        check(roll.use(now, "m").listing() == Listing.READY, "settled, and in its seat");
+        roll.told(now, true, 3, list(Listing.DRAINING, 1));
+        check(roll.use(now, "m").listing() == Listing.DRAINING, "at once");
+        roll.told(now, true, 4, list(Listing.READY, 1));
+        check(roll.use(now, "m").listing() == Listing.DRAINING, "nobody has borne it out");
+        roll.heard(now, sight(1, 1, roll.report(now, member -> true), Verdict.DISPUTED));
+        check(roll.use(now.plus(ASSIGNED), "m").listing() == Listing.DRAINING, "others hold another");
+        roll.heard(now, sight(1, 1, roll.report(now, member -> true), Verdict.SEEN));
+        check(roll.use(now, "m").listing() == Listing.READY, "most hold it");
+        check(roll.told(now, true, 5, Map.of()) == Doubt.EMPTY, "an empty one");
+        check(roll.use(now, "m").listing() == Listing.READY, "is used for nothing");
+        check(roll.use(now.plus(ASSIGNED.times(1.1)), "m").listing() == Listing.DRAINING, "adrift");
+    }
 }
