Lists held off and forks of discovery are logged once a second at most

Cause: both lines can be caused by whoever tells lists, as often as it tells them (MemberList.heed, Voter.step); such lines are one a second here.

Change: both go through Tally, with the number they stand for.

Measured: nothing on a platform's way: without [fleet] neither is reached. Tests of events, lists and agreement pass.

--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -9,6 +9,7 @@
 import basaltlever.json.Json;
 import basaltlever.json.JsonFault;
 import basaltlever.log.Event;
+import basaltlever.log.Tally;
 import basaltlever.time.Moment;
 import basaltlever.view.Known;
 import basaltlever.view.NodeView;
@@ -22,6 +23,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -40,6 +42,7 @@
     private final Map<String, Roll.Use> used = new HashMap<>();
     private final Map<String, Map<?, ?>> told = new HashMap<>();
     private long applied = -1;
+    private Tally heldOff;
     private long generation;
     private Recollection recollection = Recollection.NONE;
     private Consumer<String> absent = node -> { };
@@ -185,8 +188,9 @@
     // ---- Lists on which a fleet agrees.
 
     /** From here on each list is taken as far as the fleet bears it out. */
-    public void agreeBy(Roll fleet) {
+    public void agreeBy(Roll fleet, Supplier<Moment> clock) {
         roll = fleet;
+        heldOff = new Tally(LOG, Event.LIST_HELD, clock);
     }
 
     private void heed(Moment now, List<?> entries, boolean whole, long version, boolean asked) throws ListFault {
@@ -203,7 +207,7 @@
         }
         Doubt doubt = roll.told(now, whole, version, said);
         if (doubt != Doubt.NONE) {
-            Event.LIST_HELD.log(LOG, Level.WARN, "what it allows is used for nothing", doubt, version);
+            heldOff.note(version, doubt.name());
         }
         apply(now, version, asked);
     }
--- a/router/src/main/java/basaltlever/fleet/Voter.java
+++ b/router/src/main/java/basaltlever/fleet/Voter.java
@@ -12,6 +12,7 @@
 import basaltlever.agree.Sight;
 import basaltlever.agree.Version;
 import basaltlever.log.Event;
+import basaltlever.log.Tally;
 import basaltlever.time.Moment;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -55,6 +56,7 @@
     private boolean stepping;
     private boolean pulsing;
     private List<Fork> forks = List.of();
+    private final Tally forksTold = new Tally(LOG, Event.FLEET_FORK, Voter::now);
 
     Voter(Terms terms, String name, EventLoop loop) throws Exception {
         this.terms = terms;
@@ -153,8 +155,7 @@
         List<Fork> found = census.forks(now());
         if (!found.equals(forks)) {
             forks = found;
-            found.forEach(fork -> Event.FLEET_FORK.log(LOG, Level.WARN, "discovery tells two things",
-                fork.at().generation(), fork.holders().values()));
+            found.forEach(fork -> forksTold.note(fork.at().generation(), "" + fork.holders().values()));
         }
     }
 
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -393,7 +393,7 @@
         if (operator != null && operator.fleet() != null) {
             // What was begun before it lets go of a member is over when others may use it in another group.
             roll = new Roll(operator.fleet().stated(), operator.fleet().assigned().minus(values.longestTimeout()));
-            list.agreeBy(roll);
+            list.agreeBy(roll, clock::now);
         }
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
--- a/router/src/test/java/basaltlever/net/KeepingTest.java
+++ b/router/src/test/java/basaltlever/net/KeepingTest.java
@@ -27,7 +27,7 @@
             : Path.of("../deploy/example.json");
         Roll roll = new Roll(Span.ofMillis(1_000), ASSIGNED);
         MemberList list = new MemberList(null, List.of(), null);
-        list.agreeBy(roll);
+        list.agreeBy(roll, () -> new Moment(0));
         Keeping keeping = new Keeping(StartFile.read(example), Span.NONE, roll, list, () -> { },
             (file, holds) -> { });
         Report report = roll.report(new Moment(0), member -> true);
