--- a/lab/src/main/java/basaltlever/lab/Relay.java
+++ b/lab/src/main/java/basaltlever/lab/Relay.java
@@ -1,6 +1,7 @@
 package basaltlever.lab;
 
 import basaltlever.lab.sockets.Echo;
+import basaltlever.lab.sockets.Ports;
 import basaltlever.lab.sockets.RouterProcess;
 import basaltlever.pg.Write;
 import com.beust.jcommander.Parameter;
@@ -89,12 +90,13 @@
 
     int run(Path jar, String json) throws Exception {
         Path folder = Files.createTempDirectory("relay");
+        Ports ports = new Ports();
         Map<String, Object> figures = new LinkedHashMap<>();
         List<String> flags = new ArrayList<>(FLAGS);
         flags.addAll(more);
         try (Echo echo = new Echo(); RouterProcess router = new RouterProcess("n1", folder, jar, flags,
-                RouterProcess.freePort(), "127.0.0.1:" + echo.listPort(), 7, echo.list(), Echo.SETTINGS, "");
-                RouterProcess bare = new RouterProcess(folder, FLAGS, RouterProcess.freePort(),
+                ports.next(), "127.0.0.1:" + echo.listPort(), 7, echo.list(), Echo.SETTINGS, "");
+                RouterProcess bare = new RouterProcess(folder, FLAGS, ports.next(),
                     echo.address().getPort())) {
             router.awaitReady();
             bare.awaitReady();
