A router that stood still sends nothing to who drained meanwhile, and late statements end at once

Why it stood is not shown.

Lines at fault: - Turn.run: statements read beside the news of a drain were decided first where they were read first; news now goes first, and a turn that was held up for 50 ms behind its look looks once more. - Carrier.Execution: an execution waits for its connection up to a time-out whose timer is late too; it is not written later than that now. - Turn.begins: what was read after a pause of more than 5 ms was taken to have come just then, as if the loop had been idle: it got its whole time again.

--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -208,9 +208,10 @@
         }
     }
 
-    private boolean wasStopped(Ask ask) {
+    private Moment wasStopped(Ask ask) {
         return stopped.getOrDefault(ask.router, List.of()).stream()
-            .anyMatch(stop -> !ask.leaves.isBefore(stop.from) && !ask.due.isAfter(stop.to));
+            .filter(stop -> !ask.leaves.isBefore(stop.from) && !ask.due.isAfter(stop.to)).map(Strict::to)
+            .reduce(Moment.LONG_AGO, Moment::later);
     }
 
     private Moment now() {
--- a/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
@@ -10,6 +10,7 @@
 import basaltlever.pg.Frames;
 import basaltlever.pg.PgFault;
 import basaltlever.pg.Query;
+import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -34,6 +35,8 @@
     /** Within which the routers are up. */
     private static final long STARTS_MILLIS = 4_000;
     private static final long SETTLES_MILLIS = 4_000;
+    private static final Span TICKS = Span.ofMillis(10);
+    private static final Span HELD_UP = Span.ofMillis(40);
 
     private final Scenario scenario;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
@@ -148,6 +151,7 @@
         ClientFront clients = new ClientFront(world, addresses, loop);
         world.onRestart(router -> restart(router, clients));
         Load load = loop.submit(() -> {
+            looksAtItself(world.now());
             Load made = new Load(world, clients, faults, scenario.loaded(), routers.size());
             made.runFor(seconds);
             world.time().after(warm, () -> faults.runFor(seconds.minus(warm).minus(Span.ofMillis(500))));
@@ -184,6 +188,15 @@
         return figures;
     }
 
+    /** Servers and clients share this loop: what it is late with, no router is. */
+    private void looksAtItself(Moment due) {
+        Moment now = world.now();
+        if (now.since(due).isLongerThan(HELD_UP)) {
+            world.ledger.wasHeldUp(due, now);
+        }
+        loop.schedule(() -> looksAtItself(now.plus(TICKS)), TICKS.micros(), TimeUnit.MICROSECONDS);
+    }
+
     /** By force, as a machine would end; what its clients had asked is nobody's any more. */
     private void restart(int number, ClientFront clients) {
         RouterProcess router = routers.get(number);
--- a/lab/src/test/java/basaltlever/lab/AgreementRunTest.java
+++ b/lab/src/test/java/basaltlever/lab/AgreementRunTest.java
@@ -32,6 +32,14 @@
         }
     }
 
+    @Example
+    void routersThatStoodStillSendNothingToWhoDrainedMeanwhile() throws Exception {
+        List<String> broken = broken(Scenario.read(Scenario.text("held-up"), List.of("seconds=12")), 5);
+        if (!broken.isEmpty()) {
+            throw new AssertionError(broken);
+        }
+    }
+
     private static Scenario lists(String... more) throws Scenario.Fault {
         List<String> settings = new ArrayList<>(List.of("seconds=12", "routers=5", "load=0.4", "warm_ms=1500",
             "expect.odd_lists_least=5"));
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -325,7 +325,9 @@
             this.taken = taken;
             this.number = number;
             this.until = until;
-            this.sendBy = sendBy;
+            // No later than a connection may take: its own timer comes late where this process was held up, and the
+            // member may have been told to drain meanwhile.
+            this.sendBy = sendBy.earlier(turn.now().plus(pollTimeout).plus(GUARD));
         }
 
         @Override
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -5,6 +5,7 @@
 import basaltlever.time.Span;
 import io.netty.channel.SingleThreadEventLoop;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,16 +21,28 @@
     private static final Span AT_ONCE = Span.ofMillis(5);
     private final SingleThreadEventLoop loop;
     private final Clock clock;
+    /** A turn that comes this much after its reading does not know any more what has come since. */
+    private static final Span HELD_UP = Span.ofMillis(50);
+    /** This loop is never without something to do for longer. */
+    private static final Span TICKS = Span.ofMillis(100);
+    /** A process that is woken by a signal runs its timers before it looks at its connections. */
+    private static final Span WAKES = Span.ofMillis(20);
+    private final ArrayDeque<Consumer<Moment>> news = new ArrayDeque<>();
     private final ArrayDeque<Consumer<Moment>> heard = new ArrayDeque<>();
     private final ArrayDeque<Runnable> acts = new ArrayDeque<>();
     /** Null for nothing. */
     private Consumer<Moment> first;
     private boolean asked;
+    private boolean looksAgain;
     private Moment now;
     /** When this turn began, and what it reads may have come; when the last one ended. */
     private Moment began;
     private Moment earliest;
     private Moment ended;
+    private Moment ticksBy;
+    /** Up to when what is read may have come since this process stood still, and since when it may. */
+    private Moment wakesUntil = Moment.LONG_AGO;
+    private Moment stoodSince = Moment.LONG_AGO;
 
     Turn(SingleThreadEventLoop loop, Clock clock) {
         this.loop = loop;
@@ -38,6 +51,22 @@
         began = now;
         earliest = now;
         ended = now;
+        tick();
+    }
+
+    private void tick() {
+        Moment at = clock.now();
+        stoodStill(at);
+        ticksBy = at.plus(TICKS).plus(HELD_UP);
+        loop.schedule(this::tick, TICKS.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    private void stoodStill(Moment at) {
+        if (ticksBy != null && at.isAfter(ticksBy)) {
+            stoodSince = began;
+            wakesUntil = at.plus(WAKES);
+            ticksBy = Moment.NEVER;
+        }
     }
 
     /** For handlers and timers; on the loop's thread only. */
@@ -46,6 +75,15 @@
         begins();
     }
 
+    /**
+     * For what discovery tells. In a turn it is heard before anything else: a process that was held up finds all
+     * of the meantime ready to be read at once, statements and the drain of the member that they would go to.
+     */
+    void hearNews(Consumer<Moment> input) {
+        news.add(input);
+        begins();
+    }
+
     /** For handlers that read: no later than this can the bytes have come that are read in this turn. */
     Moment arrival() {
         begins();
@@ -56,7 +94,10 @@
         if (!asked) {
             asked = true;
             Moment at = clock.now();
-            earliest = at.since(ended).isLongerThan(AT_ONCE) ? at : began;
+            stoodStill(at);
+            // What it reads now it would have read as it came, unless this process itself stood still: then its
+            // clients have waited since any time after it looked last.
+            earliest = !at.isAfter(wakesUntil) ? stoodSince : at.since(ended).isLongerThan(AT_ONCE) ? at : began;
             began = at;
             loop.executeAfterEventLoopIteration(this::run);
         }
@@ -82,22 +123,35 @@
     }
 
     private void run() {
-        asked = false;
         now = clock.now();
+        if (!looksAgain && now.since(began).isLongerThan(HELD_UP)) {
+            // Held up since it looked at its connections: news may wait there by now.
+            looksAgain = true;
+            // By way of a task: what is put behind this iteration from here would run in it.
+            loop.execute(() -> loop.executeAfterEventLoopIteration(this::run));
+            return;
+        }
+        asked = false;
+        looksAgain = false;
         if (first != null) {
             guarded("looking at the lease", () -> first.accept(now));
         }
-        // What is heard while this goes on belongs to the next turn.
-        for (int left = heard.size(); left > 0; left--) {
-            Consumer<Moment> input = heard.poll();
-            guarded("deciding", () -> input.accept(now));
-        }
+        decide(news);
+        decide(heard);
         for (Runnable act = acts.poll(); act != null; act = acts.poll()) {
             guarded("carrying out", act);
         }
         ended = clock.now();
     }
 
+    private void decide(ArrayDeque<Consumer<Moment>> inputs) {
+        // What is heard while this goes on belongs to the next turn.
+        for (int left = inputs.size(); left > 0; left--) {
+            Consumer<Moment> input = inputs.poll();
+            guarded("deciding", () -> input.accept(now));
+        }
+    }
+
     private static void guarded(String what, Runnable step) {
         try {
             step.run();
--- a/router/src/main/java/basaltlever/net/Watch.java
+++ b/router/src/main/java/basaltlever/net/Watch.java
@@ -112,7 +112,7 @@
             }
             try {
                 Map<?, ?> entries = MemberList.parse(line);
-                turn.hear(now -> {
+                turn.hearNews(now -> {
                     try {
                         if (current == this) {
                             list.take(now, entries, true);
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -14,15 +14,24 @@
 import basaltlever.pg.Budget;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -100,6 +109,17 @@
             }));
         }
 
+        /** Not in a turn: as a process that was stopped while it waited, or another thread's doing. */
+        void standsStill(long millis) {
+            loop.execute(() -> {
+                try {
+                    Thread.sleep(millis);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+
         @Override
         public void close() throws Exception {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
@@ -125,6 +145,53 @@
         }
     }
 
+    @Example
+    void whatComesWhileTheProcessStandsStillCountsFromThenOn() throws Exception {
+        try (Forgetful router = new Forgetful(); Client client = new Client(router.port)) {
+            client.start().answer();
+            for (int i = 0; i < 3; i++) {
+                router.standsStill(400);
+                Thread.sleep(40);
+                long sent = System.nanoTime();
+                String answer = client.ask(statement("b" + i, "list", 600)).answer();
+                long took = millisSince(sent);
+                check(answer.startsWith("error:58000") && took <= 600 + SLACK_MILLIS, answer + took);
+            }
+        }
+    }
+
+    /** Whatever is read first, and though it comes only while the loop is held up behind its look. */
+    @Example
+    void newsOfDiscoveryIsHeardBeforeStatements() throws Exception {
+        List<String> order = Collections.synchronizedList(new ArrayList<>());
+        try (Forgetful router = new Forgetful(); ServerSocket discovery = new ServerSocket(0)) {
+            ChannelFuture watch = new Bootstrap().group(router.loop).channel(NioSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext context, Object read) {
+                        ((ByteBuf) read).release();
+                        router.turn.hearNews(now -> order.add("news"));
+                    }
+                }).connect(discovery.getLocalSocketAddress()).sync();
+            try (Socket socket = discovery.accept()) {
+                router.loop.submit(() -> {
+                    router.turn.hear(now -> order.add("statement"));
+                    try {
+                        socket.getOutputStream().write(1);
+                        Thread.sleep(120);
+                    } catch (IOException | InterruptedException fault) {
+                        order.add("" + fault);
+                    }
+                }).sync();
+                for (int i = 0; i < 100 && order.size() < 2; i++) {
+                    Thread.sleep(10);
+                }
+            }
+            watch.channel().close();
+        }
+        check(order.equals(List.of("news", "statement")), "" + order);
+    }
+
     @Example
     void aFaultOfTheListenerKeepsNobodyWaiting() throws Exception {
         try (Forgetful router = new Forgetful()) {
