Fleet: a lost majority is given up by a fenced command, voters are taken in and out in service

Need: with two of three voters gone for good a fleet stayed careful for ever, a voter could not be replaced, and one whose folder was lost, or that was given up, could vote as if nothing had been. Whoever hears of a newer charter ceases to lead, and routers take nothing of an older one, across restarts too (their folder keeps the latest).

--- a/lab/src/main/java/basaltlever/lab/Scenarios.java
+++ b/lab/src/main/java/basaltlever/lab/Scenarios.java
@@ -8,7 +8,7 @@
 @Parameters(commandDescription = "Names the scenarios that come with the program")
 final class Scenarios {
     static final List<String> NAMES = List.of("primary-changes", "planned-switches", "quiet",
-        "settings-switch", "third-lost", "agreement", "lists", "held-up");
+        "settings-switch", "third-lost", "agreement", "lists", "held-up", "majority-lost");
 
     void run() throws Scenario.Fault {
         for (String name : NAMES) {
--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.IntStream;
 
 /**
  * Router processes that agree on versions of their settings, while they are stopped, ended and cut from their
@@ -49,10 +50,12 @@
         NioIoHandler.newFactory());
     private final int voters;
     private final List<InetSocketAddress> places = new ArrayList<>();
+    private final List<Integer> engines = new ArrayList<>();
     private final List<List<Bridge>> bridges = new ArrayList<>();
     private final Map<Integer, List<Strict>> stopped = new ConcurrentHashMap<>();
     private final List<Strict> stricts = new ArrayList<>();
     private final SocketRun run;
+    private final String operator;
     private final Span lease;
     private final Span stated;
     /** Between routers and voters, both ways, but for those of a voter with itself. */
@@ -66,20 +69,24 @@
     private int cuts;
     private long slowestMillis;
     private String unnamed = "";
+    private volatile int recovered;
+    private volatile int inForceAtLoss;
+    private volatile Moment played = Moment.LONG_AGO;
+    private final List<String> recovery = new CopyOnWriteArrayList<>();
 
     public AgreementRun(Scenario scenario, long seed, Path jar, String operator) throws Exception {
         this.scenario = scenario;
+        this.operator = operator;
         chance = new SplittableRandom(seed ^ 0x5DEECE66DL);
         listChance = chance.split();
         voters = scenario.count("voters");
         lease = scenario.span("lease_ms");
         stated = scenario.span("stated_ms");
-        List<Integer> engines = new ArrayList<>();
         Ports ports = new Ports();
         for (int r = 0; r < scenario.count("routers"); r++) {
             places.add(new InetSocketAddress("127.0.0.1", ports.next()));
         }
-        for (int v = 0; v < voters; v++) {
+        for (int r = 0; r < places.size(); r++) {
             engines.add(ports.next());
         }
         for (int r = 0; r < places.size(); r++) {
@@ -89,7 +96,7 @@
             }
         }
         try {
-            run = new SocketRun(scenario, seed, jar, router -> operator + text(router, engines), 0, ports);
+            run = new SocketRun(scenario, seed, jar, router -> operator + text(router), 0, ports);
         } catch (Exception fault) {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw fault;
@@ -97,7 +104,11 @@
     }
 
     /** A router meets the voters over its own bridges; a voter listens at its own place. */
-    private String text(int router, List<Integer> engines) {
+    private String text(int router) {
+        return text(router, IntStream.range(0, voters).boxed().toList());
+    }
+
+    private String text(int router, List<Integer> vote) {
         if (scenario.number("agrees") < 1) {
             // The same troubles, and each router for itself: what the fleet's word is worth.
             return "";
@@ -108,7 +119,7 @@
             InetSocketAddress at = r < voters && r != router ? bridges.get(router).get(r).address()
                 : places.get(r);
             peers.add("n" + (r + 1) + "@127.0.0.1:" + at.getPort());
-            if (r < voters) {
+            if (vote.contains(r)) {
                 voting.add("n" + (r + 1) + "@127.0.0.1:" + engines.get(r));
             }
         }
@@ -139,6 +150,10 @@
         trouble.setDaemon(true);
         operator.start();
         trouble.start();
+        played = now();
+        Thread disaster = new Thread(this::loseMajority, "disaster");
+        disaster.setDaemon(true);
+        disaster.start();
         long before = bytes.sum();
         long since = System.nanoTime();
         Map<String, Object> figures = run.play();
@@ -153,6 +168,7 @@
         }
         operator.join(20_000);
         trouble.join(5_000);
+        disaster.join(20_000);
         List<Moment> repeats = run.loop().submit(() -> List.copyOf(run.world().ledger.repeats())).get();
         long longest = 0;
         int beyond = 0;
@@ -177,6 +193,9 @@
         figures.put("contradictions", within);
         figures.put("contradictions_beyond", beyond);
         figures.put("contradiction_max_ms", longest);
+        figures.put("recovered", recovered);
+        figures.put("versions_since", inForce - inForceAtLoss);
+        figures.put("recovery", recovery);
         figures.put("stops", stops);
         figures.put("cuts", cuts);
         return figures;
@@ -296,7 +315,7 @@
     }
 
     private Integer leader() {
-        for (int v = 0; v < voters; v++) {
+        for (int v = 0; v < (scenario.number("lose_majority_s") > 0 ? places.size() : voters); v++) {
             if (Message.flag(ask(v, Map.of("do", "status", "fleet", FLEET)), "leads")) {
                 return v;
             }
@@ -341,6 +360,70 @@
         return "";
     }
 
+    // ---- The majority is lost for good.
+
+    /**
+     * All voters but the first are ended; it goes on by an operator's commands, two other routers become voters,
+     * one of those that were lost comes back with its folder, and last the first one ends as well.
+     */
+    private void loseMajority() {
+        try {
+            if (scenario.number("lose_majority_s") <= 0) {
+                return;
+            }
+            Thread.sleep((long) (scenario.number("lose_majority_s") * 1_000));
+            List<String> lost = new ArrayList<>();
+            for (int v = 1; v < voters; v++) {
+                run.ends(v);
+                lost.add("n" + (v + 1));
+            }
+            inForceAtLoss = inForce;
+            RouterProcess first = run.routers().get(0);
+            told("too soon", first.command("fleet", "recover", "--charter", "1", "--ended", "n" + (places.size()),
+                "--why", "too soon"));
+            Thread.sleep(3 * stated.micros() / 1_000);
+            told("recover", first.command("fleet", "recover", "--charter", "1", "--ended", String.join(",", lost),
+                "--why", "two machines burnt"));
+            List<Integer> vote = List.of(0, places.size() - 2, places.size() - 1);
+            for (int v : vote.subList(1, 3)) {
+                told("add n" + (v + 1), first.command("fleet", "voters", "--add", "n" + (v + 1)));
+                run.ends(v);
+                run.routers().get(v).operatorFile(operator.replace("{folder}", run.folder(v)) + text(v, vote)
+                    .replace("{folder}", run.folder(v)));
+                run.starts(v);
+                awaitVoters(v - vote.get(1) + 2);
+            }
+            run.starts(1);
+            Thread.sleep(1_500);
+            Map<String, Object> back = ask(1, Map.of("do", "status", "fleet", FLEET));
+            told("n2 comes back", Message.text(back, "standing"));
+            run.ends(0);
+            Thread.sleep(4_000);
+            Integer leader = leader();
+            Map<String, Object> end = leader == null ? Map.of() : ask(leader, Map.of("do", "status", "fleet", FLEET));
+            told("without n1", "charter " + Message.number(end, "charter") + " led by " + (leader == null ? "nobody"
+                : "n" + (leader + 1)));
+            recovered = leader != null && Message.number(end, "charter") == 1 && Message.texts(back, "members").isEmpty()
+                && Message.text(back, "standing").contains("charter 1") ? 1 : 0;
+        } catch (IOException | InterruptedException fault) {
+            told("fault", "" + fault);
+        }
+    }
+
+    private void told(String step, String what) {
+        recovery.add(now().since(played).micros() / 1_000 + " ms " + step + ": " + what);
+    }
+
+    private void awaitVoters(int many) throws InterruptedException {
+        for (int i = 0; i < 40; i++) {
+            Map<String, Object> told = ask(0, Map.of("do", "status", "fleet", FLEET));
+            if (Message.flag(told, "leads") && Message.texts(told, "members").size() == many) {
+                return;
+            }
+            Thread.sleep(100);
+        }
+    }
+
     // ---- What goes wrong among the processes.
 
     private void trouble() {
--- a/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
+++ b/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
@@ -47,6 +47,7 @@
         RUN.put("poll_price", new double[] {0.01, 0, 1});
         RUN.put("load", new double[] {1, 0.01, 100});
         RUN.put("switch_ms", new double[] {0, 0, 600_000});
+        RUN.put("lose_majority_s", new double[] {0, 0, 86_400});
         RUN.put("voters", new double[] {0, 0, 7});
         RUN.put("version_ms", new double[] {1_500, 50, 600_000});
         RUN.put("lease_ms", new double[] {400, 100, 60_000});
--- a/lab/src/main/java/basaltlever/lab/sockets/RouterProcess.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/RouterProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -17,6 +18,8 @@
     /** Of its start file, up to the settings. */
     private final String head;
     private final List<String> command = new ArrayList<>();
+    private final List<String> program;
+    private final Path operatorFile;
     private final InetSocketAddress address;
     private final Path log;
     private Process process;
@@ -39,10 +42,11 @@
         command.addAll(flags);
         command.addAll(jar != null ? List.of("-jar", jar.toString())
             : List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main"));
+        program = List.copyOf(command);
         command.addAll(List.of("serve", "--file", startFile.toString()));
+        operatorFile = folder.resolve(name + ".ini");
         if (!operator.isEmpty()) {
-            command.addAll(List.of("--operator",
-                Files.writeString(folder.resolve(name + ".ini"), operator).toString()));
+            command.addAll(List.of("--operator", Files.writeString(operatorFile, operator).toString()));
         }
         start();
     }
@@ -52,6 +56,8 @@
         address = new InetSocketAddress("127.0.0.1", port);
         log = folder.resolve("bare.log");
         startFile = null;
+        operatorFile = null;
+        program = List.of();
         head = "";
         command.addAll(List.of(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1", "-Xshare:auto"));
@@ -66,6 +72,21 @@
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
     }
 
+    /** Takes effect at its next start. */
+    public void operatorFile(String text) throws IOException {
+        Files.writeString(operatorFile, text);
+    }
+
+    /** One command of the program by this router's operator's file: what it prints, behind its exit code. */
+    public String command(String... arguments) throws IOException, InterruptedException {
+        List<String> line = new ArrayList<>(program);
+        line.addAll(List.of(arguments));
+        line.addAll(List.of("--operator", operatorFile.toString()));
+        Process run = new ProcessBuilder(line).redirectErrorStream(true).start();
+        String printed = new String(run.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return run.waitFor() + " " + printed.strip();
+    }
+
     /** The operator's step: the file is replaced in one piece, then SIGHUP. */
     public void takes(String settings) throws IOException, InterruptedException {
         Path next = Files.writeString(startFile.resolveSibling(startFile.getFileName() + ".new"),
--- a/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
@@ -46,6 +46,8 @@
     private final List<RouterProcess> routers = new ArrayList<>();
     private final List<ListFront> lists = new ArrayList<>();
     private int oddLists;
+    /** From the start of the load on. */
+    private volatile ClientFront clients;
     private boolean restarting;
     private int restarts;
     private final World world;
@@ -148,7 +150,7 @@
         Span seconds = Span.ofMillis(scenario.number("seconds") * 1_000).plus(warm);
         Thread.sleep(Math.max(0, loop.submit(() -> world.startsIn().minus(warm).micros() / 1_000).get()));
         double cpu = routers.stream().mapToDouble(RouterProcess::cpuMicros).sum();
-        ClientFront clients = new ClientFront(world, addresses, loop);
+        clients = new ClientFront(world, addresses, loop);
         world.onRestart(router -> restart(router, clients));
         Load load = loop.submit(() -> {
             looksAtItself(world.now());
@@ -197,6 +199,24 @@
         loop.schedule(() -> looksAtItself(now.plus(TICKS)), TICKS.micros(), TimeUnit.MICROSECONDS);
     }
 
+    /** Of a router's own, which lasts over its restarts. */
+    public String folder(int number) {
+        return folder.resolve("view" + number).toString();
+    }
+
+    /** By force, and not again until it is started; its clients go elsewhere. Not on the loop. */
+    public void ends(int number) throws InterruptedException {
+        loop.submit(() -> clients.isDown(number, true)).sync();
+        routers.get(number).process().destroyForcibly().waitFor();
+    }
+
+    /** One that was ended. */
+    public void starts(int number) throws IOException, InterruptedException {
+        routers.get(number).start();
+        routers.get(number).awaitReady();
+        loop.submit(() -> clients.isDown(number, false)).sync();
+    }
+
     /** By force, as a machine would end; what its clients had asked is nobody's any more. */
     private void restart(int number, ClientFront clients) {
         RouterProcess router = routers.get(number);
--- a/lab/src/test/java/basaltlever/lab/AgreementRunTest.java
+++ b/lab/src/test/java/basaltlever/lab/AgreementRunTest.java
@@ -40,6 +40,16 @@
         }
     }
 
+    /** Both other voters end for good; commands of the program go on from the third, which ends as well. */
+    @Example
+    void aLostMajorityIsGivenUpAndReplacedWhileClientsAreServed() throws Exception {
+        List<String> broken = broken(Scenario.read(Scenario.text("majority-lost"), List.of("seconds=32", "load=0.5",
+            "expect.repeats_least=1")), 3);
+        if (!broken.isEmpty()) {
+            throw new AssertionError(broken);
+        }
+    }
+
     private static Scenario lists(String... more) throws Scenario.Fault {
         List<String> settings = new ArrayList<>(List.of("seconds=12", "routers=5", "load=0.4", "warm_ms=1500",
             "expect.odd_lists_least=5"));
--- a/router/src/main/java/basaltlever/agree/Census.java
+++ b/router/src/main/java/basaltlever/agree/Census.java
@@ -203,7 +203,7 @@
             return new Step(Step.Kind.COUNT_ANEW, List.of());
         }
         List<Seat> cleared = register.seats(-1).stream().filter(seat -> !seat.cleared() && isLetGo(seat.member(),
-            now)).limit(SEATS_A_STEP).toList();
+            now, register.ended())).limit(SEATS_A_STEP).toList();
         if (!cleared.isEmpty()) {
             return new Step(Step.Kind.CLEAR, cleared);
         }
@@ -218,9 +218,10 @@
 
     // Whoever let go keeps to it while the move is not cleared, and a later process under its name hears of the
     // move before its first act. Whoever did not may act for as long as its groups are assigned to it.
-    private boolean isLetGo(String member, Moment now) {
+    private boolean isLetGo(String member, Moment now, Set<String> ended) {
         Set<String> free = freeAt.getOrDefault(member, Set.of());
-        return peers.stream().allMatch(peer -> free.contains(peer) || now.since(leases.heard(peer)
+        return peers.stream().allMatch(peer -> free.contains(peer) || ended.contains(peer) && !reports.containsKey(
+            peer) || now.since(leases.heard(peer)
             .later(electedAt)).isLongerThan(leases.atMost(assigned.plus(leases.lease()))));
     }
 
--- a/router/src/main/java/basaltlever/agree/Follower.java
+++ b/router/src/main/java/basaltlever/agree/Follower.java
@@ -17,6 +17,7 @@
 
     private final ArrayDeque<Beat> out = new ArrayDeque<>();
     private long beats;
+    /** Of the latest grant; those of an older charter never reach it. */
     private long changes;
     private Moment leaseEnds = Moment.LONG_AGO;
     private Version inForce;
@@ -24,6 +25,16 @@
     /** Before the first grant nothing is known to hold. */
     private boolean careful = true;
 
+    /** A process before this one was told of that charter: what came before it binds nobody any more. */
+    public void knows(long charter) {
+        changes = Math.max(changes, Register.first(charter));
+    }
+
+    /** The latest charter that it was told of. */
+    public long charter() {
+        return Register.charter(changes);
+    }
+
     /** Number of a beat that is sent now. */
     public long beat(Moment now) {
         out.addLast(new Beat(++beats, now));
--- a/router/src/main/java/basaltlever/agree/Register.java
+++ b/router/src/main/java/basaltlever/agree/Register.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * What the voters agree on: which version is in force and which is being brought into force. It is changed by
@@ -17,6 +20,11 @@
 public final class Register {
     private static final int MOST_HISTORY = 200;
     private static final int MOST_SEATS = 4_000;
+    /** A charter's commands are counted from its own number on, which those of the one before never reach. */
+    private static final int CHARTER_BITS = 40;
+    /** What is numbered under a new charter lies beyond all that those who are lost can have given out. */
+    private static final int BEYOND = 1_000;
+    private static final long SEATS_BEYOND = 1_000_000;
     /** Settings, as bytes of text at most. */
     public static final int LARGEST = 128 * 1024;
 
@@ -36,6 +44,9 @@
     private final Map<String, Long> seatedAt = new HashMap<>();
     private long seatsNumber;
     private long era;
+    /** By which folder each voter has voted, and who was given up with the last majority. */
+    private final TreeMap<String, String> seals = new TreeMap<>();
+    private final TreeSet<String> ended = new TreeSet<>();
 
     /**
      * A proposal made with the given version in force; empty where it is being prepared from here on, else
@@ -157,6 +168,79 @@
         });
     }
 
+    // ---- Who votes.
+
+    /** A voter's folder, known from here on: another under the same name has not voted by it. */
+    public boolean seal(String voter, String folder) {
+        changes++;
+        return seals.putIfAbsent(voter, folder) == null;
+    }
+
+    /** It is no voter any more, or is to vote with another folder. */
+    public void unseal(String voter) {
+        changes++;
+        seals.remove(voter);
+    }
+
+    /** Empty where it has not voted yet. */
+    public String sealOf(String voter) {
+        return seals.getOrDefault(voter, "");
+    }
+
+    /** How often a lost majority was given up; each time those that are left go on by a new charter. */
+    public long charter() {
+        return charter(changes);
+    }
+
+    /** Of a number of changes as grants tell it. */
+    public static long charter(long changes) {
+        return changes >>> CHARTER_BITS;
+    }
+
+    /** From which number on a charter's changes are counted. */
+    public static long first(long charter) {
+        return charter << CHARTER_BITS;
+    }
+
+    /**
+     * A majority is gone for good, and this copy of what it agreed on goes on by itself. What the others agreed
+     * on behind its back is undone: so nobody uses a member before everybody has let go of it, and all numbers
+     * go on beyond those that they can have given out.
+     */
+    public void recover(Set<String> lost, String who, String why, long atMillis) {
+        changes = first(charter() + 1);
+        if (prepared != null) {
+            note(new Chapter(prepared, End.WITHDRAWN, "a majority was lost"));
+            prepared = null;
+        }
+        last = Math.max(last, inForce.number()) + BEYOND;
+        inForce = new Version(last, inForce.text(), inForce.routers(), who, why, atMillis);
+        note(new Chapter(inForce, End.IN_FORCE, "charter " + charter() + ", without " + String.join(", ", lost)));
+        seatsNumber += SEATS_BEYOND;
+        seats.replaceAll((member, seat) -> new Seat(member, seat.group(), seat.at(), false));
+        seatedAt.replaceAll((member, number) -> seatsNumber);
+        seals.clear();
+        ended.clear();
+        ended.addAll(lost);
+    }
+
+    /** Whose processes were ended before the last charter, by an operator's word. */
+    public Set<String> ended() {
+        return ended;
+    }
+
+    public Map<String, String> seals() {
+        return seals;
+    }
+
+    /** As a snapshot held it. */
+    public void restore(Map<String, String> folders, Collection<String> lost) {
+        seals.clear();
+        seals.putAll(folders);
+        ended.clear();
+        ended.addAll(lost);
+    }
+
     private void note(Chapter chapter) {
         history.addLast(chapter);
         if (history.size() > MOST_HISTORY) {
--- a/router/src/main/java/basaltlever/cli/FleetCommand.java
+++ b/router/src/main/java/basaltlever/cli/FleetCommand.java
@@ -20,6 +20,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
     private static final int MISUSED = 2;
     private static final int REFUSED = 1;
     private static final long LOOKS_MILLIS = 50;
+    private static final long BEGINS_MILLIS = 15_000;
 
     private static class Where {
         @Parameter(names = "--operator", description = "the operator's file, with [fleet]", required = true)
@@ -76,8 +78,26 @@
     private static final class Peers extends Where {
     }
 
-    @Parameters(commandDescription = "Shows each voter, who leads and how far its log has come")
+    @Parameters(commandDescription = "Shows each voter, who leads and how far its log has come; takes one in or out")
     private static final class Voters extends Where {
+        @Parameter(names = "--add", description = "the router that is to vote from now on")
+        String add = "";
+        @Parameter(names = "--remove", description = "the voter that is to vote no more")
+        String remove = "";
+    }
+
+    @Parameters(commandDescription = "Goes on without a majority of the voters that is gone for good")
+    private static final class Recover extends Where {
+        @Parameter(names = "--charter", description = "the number of the charter that begins: one more than now",
+            required = true)
+        long charter;
+        @Parameter(names = "--ended", description = "the voters whose processes have been ended, with commas",
+            required = true)
+        List<String> ended = new ArrayList<>();
+        @Parameter(names = "--who", description = "who decides it")
+        String who = System.getProperty("user.name");
+        @Parameter(names = "--why", description = "one sentence for the history", required = true)
+        String why;
     }
 
     /** Told to the user as it is. */
@@ -98,6 +118,7 @@
     private final Diff diff = new Diff();
     private final Peers peers = new Peers();
     private final Voters voters = new Voters();
+    private final Recover recover = new Recover();
     private JCommander settings;
     private JCommander fleet;
 
@@ -111,17 +132,20 @@
         fleet = main.getCommands().get("fleet");
         fleet.addCommand("status", peers);
         fleet.addCommand("voters", voters);
+        fleet.addCommand("recover", recover);
     }
 
     int run(String of, PrintStream out, PrintStream err) {
         String command = (of.equals("fleet") ? fleet : settings).getParsedCommand();
         try {
             if (command == null) {
-                throw new Refusal(MISUSED, of.equals("fleet") ? "fleet takes status or voters"
+                throw new Refusal(MISUSED, of.equals("fleet") ? "fleet takes status, voters or recover"
                     : "settings takes propose, revert, status, history or diff");
             }
             if (command.equals("voters")) {
-                return tellVoters(out);
+                return voters.add.isEmpty() && voters.remove.isEmpty() ? tellVoters(out) : changeVoters(out);
+            } else if (command.equals("recover")) {
+                recover(out);
             } else if (of.equals("fleet")) {
                 tellPeers(out);
             } else {
@@ -279,38 +303,115 @@
         }
     }
 
+    /** What each voter of the file tells, and each that another tells of; with the reason where it does not. */
+    private static Map<String, Map<String, Object>> everyVoter(Terms terms) {
+        Map<String, Map<String, Object>> all = new LinkedHashMap<>();
+        List<String> asked = new ArrayList<>(terms.voters().keySet());
+        for (int i = 0; i < asked.size(); i++) {
+            Map<String, Object> told = new LinkedHashMap<>();
+            try {
+                told.putAll(Call.ask(terms.peers().get(asked.get(i)), Map.of("do", "status", "fleet", terms.name())));
+            } catch (IOException silent) {
+                told.put("why", "does not answer: " + silent.getMessage());
+            }
+            all.put(asked.get(i), told);
+            Message.texts(told, "members").stream().filter(member -> terms.peers().containsKey(member)
+                && !asked.contains(member)).forEach(asked::add);
+        }
+        return all;
+    }
+
+    /** The voter that knows most; null where none votes. */
+    private static String mostKnowing(Map<String, Map<String, Object>> all) {
+        return all.keySet().stream().filter(voter -> !Message.texts(all.get(voter), "members").isEmpty())
+            .max(Comparator.comparingLong(voter -> Message.number(all.get(voter), "changes"))).orElse(null);
+    }
+
     /** 1 where no majority answers. */
     private int tellVoters(PrintStream out) throws Refusal, StartFault, IOException {
         Terms terms = terms(voters);
+        Map<String, Map<String, Object>> all = everyVoter(terms);
+        String newest = mostKnowing(all);
+        List<String> members = newest == null ? List.copyOf(terms.voters().keySet()) : Message.texts(all.get(newest),
+            "members");
+        long charter = newest == null ? 0 : Message.number(all.get(newest), "charter");
         List<Map<String, Object>> lines = new ArrayList<>();
         StringBuilder text = new StringBuilder();
         int answer = 0;
-        for (String voter : terms.voters().keySet()) {
+        for (Map.Entry<String, Map<String, Object>> one : all.entrySet()) {
+            Map<String, Object> told = one.getValue();
+            boolean votes = members.contains(one.getKey()) && Message.number(told, "charter") == charter
+                && !Message.texts(told, "members").isEmpty();
+            answer += votes ? 1 : 0;
             Map<String, Object> line = new LinkedHashMap<>();
-            line.put("name", voter);
-            line.put("at", Addresses.text(terms.voters().get(voter)));
-            try {
-                Map<String, Object> told = Call.ask(terms.peers().get(voter), Map.of("do", "status", "fleet",
-                    terms.name()));
-                line.put("leads", Message.flag(told, "leads"));
-                line.put("standing", told.containsKey("standing") ? Message.text(told, "standing")
-                    : Message.text(told, "why"));
-                answer++;
-            } catch (IOException silent) {
-                line.put("leads", false);
-                line.put("standing", "does not answer: " + silent.getMessage());
-            }
+            line.put("name", one.getKey());
+            line.put("at", Addresses.text(terms.peers().get(one.getKey())));
+            line.put("leads", Message.flag(told, "leads"));
+            line.put("votes", votes);
+            line.put("standing", told.containsKey("standing") ? Message.text(told, "standing")
+                : Message.text(told, "why"));
             lines.add(line);
-            text.append("%-16s %-22s %-7s %s%n".formatted(voter, line.get("at"), Boolean.TRUE.equals(line.get(
+            text.append("%-16s %-22s %-7s %s%n".formatted(one.getKey(), line.get("at"), Boolean.TRUE.equals(line.get(
                 "leads")) ? "leads" : "", line.get("standing")));
         }
-        boolean most = 2 * answer > terms.voters().size();
-        text.append(answer).append(" of ").append(terms.voters().size()).append(most ? " answer"
-            : " answer: no majority, so nothing comes into force and routers are careful");
-        tell(out, voters, Map.of("voters", lines, "majority", most), text.toString());
+        boolean most = 2 * answer > members.size();
+        text.append("charter ").append(charter).append(": ").append(answer).append(" of ").append(members.size())
+            .append(most ? " vote" : " vote: no majority, so nothing comes into force and routers are careful");
+        tell(out, voters, Map.of("voters", lines, "majority", most, "charter", charter, "members", members),
+            text.toString());
         return most ? 0 : REFUSED;
     }
 
+    private int changeVoters(PrintStream out) throws Refusal, StartFault, IOException {
+        if (!voters.add.isEmpty() && !voters.remove.isEmpty()) {
+            throw new Refusal(MISUSED, "voters takes --add or --remove: one change at a time");
+        }
+        Terms terms = terms(voters);
+        boolean in = !voters.add.isEmpty();
+        String voter = in ? voters.add : voters.remove;
+        String leader = everyVoter(terms).entrySet().stream().filter(one -> Message.flag(one.getValue(), "leads"))
+            .map(Map.Entry::getKey).findFirst().orElseThrow(() -> new Refusal(REFUSED, "nobody leads"));
+        command(terms, leader, Map.of("do", "voters", "fleet", terms.name(), "voter", voter, "in", in));
+        tell(out, voters, Map.of("voter", voter, "in", in), voter + (in ? " votes from now on" : " votes no more"));
+        return 0;
+    }
+
+    private static void command(Terms terms, String voter, Map<String, Object> command) throws Refusal, IOException {
+        Map<String, Object> answer = Call.ask(terms.peers().get(voter), command);
+        if (!Message.text(answer, "do").equals("taken")) {
+            throw new Refusal(REFUSED, Message.text(answer, "do") + ": " + Message.text(answer, "why"));
+        }
+    }
+
+    /** By the one that knows most of those that are left. */
+    private void recover(PrintStream out) throws Refusal, StartFault, IOException, InterruptedException {
+        Terms terms = terms(recover);
+        for (String voter : recover.ended) {
+            if (!terms.peers().containsKey(voter)) {
+                throw new Refusal(MISUSED, "--ended names " + voter + ", which fleet.peers does not");
+            }
+        }
+        String left = mostKnowing(everyVoter(terms));
+        if (left == null) {
+            throw new Refusal(REFUSED, "no voter of fleet " + terms.name() + " answers: one has to be left, with its"
+                + " folder");
+        }
+        command(terms, left, Map.of("do", "recover", "fleet", terms.name(), "number", recover.charter, "ended",
+            recover.ended, "who", recover.who, "why", recover.why));
+        long until = System.currentTimeMillis() + BEGINS_MILLIS;
+        while (System.currentTimeMillis() < until) {
+            Map<String, Object> told = Call.ask(terms.peers().get(left), Map.of("do", "status", "fleet", terms.name()));
+            if (Message.flag(told, "leads") && Message.number(told, "charter") == recover.charter) {
+                tell(out, recover, Map.of("charter", recover.charter, "voter", left), "charter " + recover.charter
+                    + " has begun: " + left + " leads, and votes alone: take others in with fleet voters --add NAME");
+                return;
+            }
+            Thread.sleep(LOOKS_MILLIS);
+        }
+        throw new Refusal(REFUSED, "charter " + recover.charter + " is " + left + "'s, which does not lead yet: see"
+            + " fleet voters");
+    }
+
     private void propose(PrintStream out, Propose of, String text) throws Refusal, StartFault, IOException,
         InterruptedException {
         Terms terms = terms(of);
--- a/router/src/main/java/basaltlever/fleet/Call.java
+++ b/router/src/main/java/basaltlever/fleet/Call.java
@@ -17,10 +17,16 @@
 
     /** Throws where it can't be reached, or does not answer in 5 s. */
     public static Map<String, Object> ask(InetSocketAddress at, Map<String, Object> message)
+        throws IOException {
+        return ask(at, message, PATIENCE_MILLIS);
+    }
+
+    /** Throws where it does not answer in so long. */
+    static Map<String, Object> ask(InetSocketAddress at, Map<String, Object> message, int patienceMillis)
         throws IOException {
         try (Socket socket = new Socket()) {
-            socket.connect(at, CONNECTS_MILLIS);
-            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.connect(at, Math.min(CONNECTS_MILLIS, patienceMillis));
+            socket.setSoTimeout(patienceMillis);
             byte[] bytes = Message.write(message);
             DataOutputStream out = new DataOutputStream(socket.getOutputStream());
             out.writeInt(bytes.length);
--- a/router/src/main/java/basaltlever/fleet/Engine.java
+++ b/router/src/main/java/basaltlever/fleet/Engine.java
@@ -17,12 +17,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.jgroups.Address;
 import org.jgroups.JChannel;
 import org.jgroups.protocols.raft.RAFT;
 import org.jgroups.protocols.raft.Role;
 import org.jgroups.raft.Options;
 import org.jgroups.raft.RaftHandle;
 import org.jgroups.raft.StateMachine;
+import org.jgroups.util.NameCache;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -71,18 +73,19 @@
     private volatile boolean closed;
 
     /**
-     * Joins the others, or waits for them. Suspicion comes after the span; leads is told whenever this voter
-     * begins or ceases to lead, on the engine's thread.
+     * Joins the others, or waits for them. Members vote at first, this one among them; voters are where they may
+     * be met. Suspicion comes after the span; leads is told whenever this voter begins or ceases to lead, on the
+     * engine's thread.
      */
-    Engine(String fleet, String name, Map<String, InetSocketAddress> voters, Path folder, long suspectMillis,
-           Consumer<Boolean> leads) throws Exception {
+    Engine(String fleet, String name, Map<String, InetSocketAddress> voters, List<String> members, Path folder,
+           long suspectMillis, Consumer<Boolean> leads) throws Exception {
         this.leads = leads;
         InetSocketAddress own = voters.get(name);
         String hosts = voters.values().stream().map(at -> at.getHostString() + "[" + at.getPort() + "]")
             .collect(Collectors.joining(","));
         String stack = STACK.formatted(own.getHostString(), own.getPort(), hosts,
             own.getHostString(), DETECTOR, suspectMillis,
-            Math.max(50, suspectMillis / 4), String.join(",", voters.keySet()), name,
+            Math.max(50, suspectMillis / 4), String.join(",", members), name,
             folder.toAbsolutePath(), name);
         channel = new JChannel(new ByteArrayInputStream(stack.getBytes(StandardCharsets.UTF_8)));
         channel.setName(name);
@@ -117,8 +120,25 @@
         leads.accept(role == Role.Leader);
     }
 
-    boolean isLeader() {
-        return raft.isLeader();
+    /** Empty where nobody leads. */
+    String leader() {
+        Address leader = raft.leader();
+        String name = leader == null ? null : NameCache.get(leader);
+        return name == null ? "" : name;
+    }
+
+    /** Who votes, as far as this one knows. */
+    List<String> members() {
+        return List.copyOf(raft.raft().members());
+    }
+
+    /** Takes a voter in, or out; one change at a time, and only where this one leads. */
+    CompletableFuture<byte[]> change(String voter, boolean in) {
+        try {
+            return in ? raft.raft().addServer(voter) : raft.raft().removeServer(voter);
+        } catch (Exception refused) {
+            return CompletableFuture.failedFuture(refused);
+        }
     }
 
     /** How far its log has come, for status. */
@@ -163,7 +183,17 @@
                     Lists.seats(command.get("seats")).forEach(seat -> register.clear(seat.member()));
                     yield "";
                 }
+                case "seal" -> register.seal(Message.text(command, "voter"), Message.text(command, "folder")) ? ""
+                    : "its folder is known";
+                case "unseal" -> {
+                    register.unseal(Message.text(command, "voter"));
+                    yield "";
+                }
                 case "count_anew" -> register.countAnew(number) ? "" : "it is counted anew already";
+                case "charter" -> {
+                    restore(command);
+                    yield "";
+                }
                 // A pulse, or what a later release knows: order is all that matters of it.
                 default -> "";
             };
@@ -173,6 +203,13 @@
 
     @Override
     public void writeContentTo(DataOutput out) throws IOException {
+        byte[] bytes = Message.write(content(register));
+        out.writeInt(bytes.length);
+        out.write(bytes);
+    }
+
+    /** All of a register that a snapshot or a seed holds. */
+    static Map<String, Object> content(Register register) {
         Map<String, Object> all = new LinkedHashMap<>();
         synchronized (register) {
             all.put("force", Message.of(register.inForce()));
@@ -182,6 +219,8 @@
             all.put("era", register.era());
             all.put("seats_number", register.seatsNumber());
             all.put("seats", register.seats(-1).stream().map(Lists::of).toList());
+            all.put("seals", new LinkedHashMap<>(register.seals()));
+            all.put("ended", List.copyOf(register.ended()));
             // The texts of old versions would make a snapshot large: revert needs the latest few only.
             List<Chapter> history = register.history();
             all.put("history", history.stream().map(chapter -> {
@@ -191,22 +230,28 @@
                     v.atMillis()), chapter.end(), chapter.reason()) : chapter);
             }).toList());
         }
-        byte[] bytes = Message.write(all);
-        out.writeInt(bytes.length);
-        out.write(bytes);
+        return all;
     }
 
     @Override
     public void readContentFrom(DataInput in) throws IOException {
         byte[] bytes = new byte[Math.min(Math.max(0, in.readInt()), Message.LARGEST)];
         in.readFully(bytes);
-        Map<String, Object> all = Message.read(bytes, 0, bytes.length);
+        restore(Message.read(bytes, 0, bytes.length));
+    }
+
+    private void restore(Map<String, Object> all) {
         synchronized (register) {
             register.restore(Message.version(all.get("force")), Message.version(all.get("prepared")),
                 Message.number(all, "last"), Message.number(all, "changes"), all.get("history") instanceof List<?> lines ? lines.stream()
                     .map(line -> Message.chapter((Map<?, ?>) line)).toList() : List.of());
             register.restore(Message.number(all, "era"), Message.number(all, "seats_number"),
                 Lists.seats(all.get("seats")));
+            Map<String, String> seals = new LinkedHashMap<>();
+            if (all.get("seals") instanceof Map<?, ?> told) {
+                told.forEach((voter, folder) -> seals.put("" + voter, "" + folder));
+            }
+            register.restore(seals, Message.texts(all, "ended"));
         }
     }
 
--- a/router/src/main/java/basaltlever/fleet/Fleet.java
+++ b/router/src/main/java/basaltlever/fleet/Fleet.java
@@ -4,17 +4,23 @@
 import basaltlever.agree.Grant;
 import basaltlever.agree.Report;
 import basaltlever.agree.Sight;
+import basaltlever.log.Event;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** One instance's part in its fleet: its link, and its voter where it is one. On a loop of its own. */
 public final class Fleet implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
         NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -22,6 +28,7 @@
     private final Link link;
     private final String name;
     private final Terms terms;
+    private final Papers papers;
     /** Of this process. */
     private final long incarnation = System.currentTimeMillis();
 
@@ -29,13 +36,14 @@
      * Beats is run on this fleet's loop when a beat is due, granted with each answer. Throws where the voter
      * can't be started: its folder or its ports.
      */
-    public Fleet(Terms terms, String name, SplittableRandom chance, Runnable beats,
+    public Fleet(Terms terms, String name, Papers papers, SplittableRandom chance, Runnable beats,
                  BiConsumer<Grant, Sight> granted) throws Exception {
         this.terms = terms;
+        this.papers = papers;
         this.name = name;
         Voter own = null;
         try {
-            own = terms.voters().containsKey(name) ? new Voter(terms, name, loop) : null;
+            own = terms.voters().containsKey(name) ? new Voter(terms, name, loop, papers) : null;
         } finally {
             if (own == null && terms.voters().containsKey(name)) {
                 group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -46,13 +54,22 @@
     }
 
     /** What a router says of itself and of its list; from any thread. */
-    public void beat(long number, long force, long keeps, long refused, String refusal, boolean holds,
+    public void beat(long number, long charter, long force, long keeps, long refused, String refusal, boolean holds,
                      Report report) {
         Map<String, Object> beat = new LinkedHashMap<>(Map.of("do", "beat", "fleet", terms.name(), "from", name,
             "incarnation", incarnation, "beat", number, "force", force, "keeps", keeps, "refused", refused,
             "refusal", refusal, "holds", holds));
         beat.put("lists", Lists.of(report));
-        loop.execute(() -> link.send(beat));
+        beat.put("charter", charter);
+        beat.put("folder", voter == null ? "" : voter.folder());
+        loop.execute(() -> {
+            try {
+                papers.isTold(charter);
+            } catch (IOException fault) {
+                Event.FLEET_STANDS.log(LOG, Level.ERROR, "", "can't write", fault.getMessage());
+            }
+            link.send(beat);
+        });
     }
 
     @Override
@@ -64,7 +81,7 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (java.io.IOException ended) {
+        } catch (IOException ended) {
             // It ends in any case.
         }
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
--- a/router/src/main/java/basaltlever/fleet/Link.java
+++ b/router/src/main/java/basaltlever/fleet/Link.java
@@ -114,6 +114,8 @@
     }
 
     private final class Talk extends Wire {
+        private boolean answered;
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             if (ended) {
@@ -129,6 +131,9 @@
         public void channelInactive(ChannelHandlerContext context) {
             if (open == context) {
                 open = null;
+                // Taken and closed without a word, by a relay before it or for want of room: asked again at once
+                // and for ever, it kept this router from the one that leads.
+                asks = answered ? asks : (asks + 1) % voters.size();
             }
         }
 
@@ -137,6 +142,7 @@
             if (from != open) {
                 return;
             }
+            answered = true;
             switch (Message.text(message, "do")) {
                 case "grant" -> {
                     unanswered = 0;
@@ -150,7 +156,12 @@
                     }
                 }
                 case "follows" -> {
-                    asks = (asks + 1) % voters.size();
+                    String leader = Message.text(message, "leader");
+                    if (terms.peers().containsKey(leader) && !voters.contains(leader)) {
+                        // Taken in since this router's file was written.
+                        voters.add(leader);
+                    }
+                    asks = voters.contains(leader) ? voters.indexOf(leader) : (asks + 1) % voters.size();
                     loop.schedule(() -> {
                         if (from == open) {
                             from.close();
@@ -159,8 +170,10 @@
                         }
                     }, 20, TimeUnit.MILLISECONDS);
                 }
-                default -> Event.FLEET_REFUSED.log(LOG, Level.ERROR, "", voters.get(asks),
-                    Message.text(message, "why"));
+                default -> {
+                    Event.FLEET_REFUSED.log(LOG, Level.ERROR, "", voters.get(asks), Message.text(message, "why"));
+                    asks = (asks + 1) % voters.size();
+                }
             }
         }
 
--- a/router/src/main/java/basaltlever/fleet/Message.java
+++ b/router/src/main/java/basaltlever/fleet/Message.java
@@ -123,6 +123,11 @@
         return message.get(name) instanceof String text ? text : "";
     }
 
+    /** Empty where there are none. */
+    public static List<String> texts(Map<?, ?> message, String name) {
+        return message.get(name) instanceof List<?> items ? items.stream().map(String::valueOf).toList() : List.of();
+    }
+
     /** 0 where there is none. */
     public static long number(Map<?, ?> message, String name) {
         return message.get(name) instanceof Long number ? number : 0;
--- a/router/src/main/java/basaltlever/log/Event.java
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -30,6 +30,7 @@
     CLIENT_ENDED("client_ended", "client", "state", "bytes"),
     FLEET_JOINS("fleet_joins", "cause"),
     FLEET_LEADER("fleet_leader", "voter"),
+    FLEET_STANDS("fleet_stands", "voter", "cause"),
     FLEET_STEP("fleet_step", "step", "version", "cause"),
     FLEET_REFUSED("fleet_refused", "voter", "cause"),
     FLEET_KEEPS("fleet_keeps", "force", "prepared", "careful"),
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -12,6 +12,7 @@
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
 import basaltlever.fleet.Fleet;
+import basaltlever.fleet.Papers;
 import basaltlever.config.Terms;
 import basaltlever.hold.HoldBudget;
 import basaltlever.keep.Keeper;
@@ -333,7 +334,9 @@
                 Meet.careful(start.values().agreed())));
         }).sync();
         try {
-            fleet = new Fleet(terms, start.name(), new SplittableRandom(start.seed()).split(),
+            Papers papers = Papers.read(terms.folder(), terms.name(), start.name());
+            loop.submit(() -> keeping.follower().knows(papers.knows())).sync();
+            fleet = new Fleet(terms, start.name(), papers, new SplittableRandom(start.seed()).split(),
                 () -> loop.execute(this::beat), (grant, sight) -> loop.execute(() -> turn.hear(now -> {
                     keeping.granted(now, grant, sight);
                     if (!keeping.follower().isCareful() && roll.isSettled()) {
@@ -346,7 +349,7 @@
             while (cause.getCause() != null) {
                 cause = cause.getCause();
             }
-            throw new StartFault(List.of("fleet: " + start.name() + " can't be a voter: " + cause));
+            throw new StartFault(List.of("fleet: " + start.name() + " can't take part: " + cause));
         }
         granted.await(JOINS.longer(terms.lease().times(4)).micros(), TimeUnit.MICROSECONDS);
     }
@@ -355,7 +358,7 @@
         Follower follower = keeping.follower();
         Moment now = turn.clock().now();
         boolean holds = !follower.isCareful() && !follower.isOver(now);
-        fleet.beat(follower.beat(now), follower.inForce() == null ? 0 : follower.inForce().number(), holds
+        fleet.beat(follower.beat(now), follower.charter(), follower.inForce() == null ? 0 : follower.inForce().number(), holds
             ? follower.keepsTo() : 0, keeping.refused(), keeping.refusal(), holds, roll.report(now, core::isIdle));
     }
 
--- /dev/null
+++ b/router/src/test/java/basaltlever/fleet/PapersTest.java
@@ -0,0 +1,44 @@
+package basaltlever.fleet;
+
+import static basaltlever.StandIn.check;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.jqwik.api.Example;
+
+class PapersTest {
+    private static String refused(Path folder, String fleet, String name) {
+        try {
+            Papers.read(folder, fleet, name);
+            return "";
+        } catch (IOException fault) {
+            return fault.getMessage();
+        }
+    }
+
+    @Example
+    void whatWasWrittenIsFoundAndNobodyElsesOrDamagedIsTaken() throws Exception {
+        Path folder = Files.createTempDirectory("papers");
+        Papers papers = Papers.read(folder, "cards", "n1");
+        papers.votes(2, List.of("n1", "n4"));
+        papers.isTold(3);
+        Papers again = Papers.read(folder, "cards", "n1");
+        check(again.seal().equals(papers.seal()) && again.knows() == 3, "kept");
+        check(refused(folder, "cards", "n2").contains("is the folder of n1 of fleet cards"), "another router's");
+        check(refused(folder, "views", "n1").contains("not of n1 of views"), "another fleet's");
+        Path file = folder.resolve("papers");
+        byte[] bytes = Files.readAllBytes(file);
+        for (int at = 0; at < bytes.length; at++) {
+            byte[] bad = bytes.clone();
+            bad[at] ^= 4;
+            Files.write(file, bad);
+            check(refused(folder, "cards", "n1").contains("damaged"), "bit of byte " + at);
+        }
+        for (int length = 0; length < bytes.length; length += 7) {
+            Files.write(file, java.util.Arrays.copyOf(bytes, length));
+            check(refused(folder, "cards", "n1").contains("damaged"), "cut at " + length);
+        }
+    }
+}
