Fleet: routers learn from their leader who votes, so new voters are found by old files

Cause: Link asked the voters of its file and whoever a follower named as leader, and with n1 nobody was left to name one. Change: every grant tells who votes; Link asks those too, Papers keeps them for the next start, and a voter that waits asks them whether it may.

--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -19,7 +19,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -401,9 +403,19 @@
             Thread.sleep(4_000);
             Integer leader = leader();
             Map<String, Object> end = leader == null ? Map.of() : ask(leader, Map.of("do", "status", "fleet", FLEET));
+            Set<String> leased = new TreeSet<>();
+            if (end.get("peers") instanceof List<?> peers) {
+                peers.forEach(peer -> {
+                    if (Message.number((Map<?, ?>) peer, "lease_ms") > 0) {
+                        leased.add(Message.text((Map<?, ?>) peer, "name"));
+                    }
+                });
+            }
+            told("leased", "" + leased);
             told("without n1", "charter " + Message.number(end, "charter") + " led by " + (leader == null ? "nobody"
                 : "n" + (leader + 1)));
-            recovered = leader != null && Message.number(end, "charter") == 1 && Message.texts(back, "members").isEmpty()
+            // All but those that were ended and not started again.
+            recovered = leader != null && leased.size() == places.size() - voters + 1 && Message.number(end, "charter") == 1 && Message.texts(back, "members").isEmpty()
                 && Message.text(back, "standing").contains("charter 1") ? 1 : 0;
         } catch (IOException | InterruptedException fault) {
             told("fault", "" + fault);
--- a/router/src/main/java/basaltlever/fleet/Fleet.java
+++ b/router/src/main/java/basaltlever/fleet/Fleet.java
@@ -50,7 +50,7 @@
             }
         }
         voter = own;
-        link = new Link(terms, loop, chance, beats, granted);
+        link = new Link(terms, papers, loop, chance, beats, granted);
     }
 
     /** What a router says of itself and of its list; from any thread. */
--- a/router/src/main/java/basaltlever/fleet/Link.java
+++ b/router/src/main/java/basaltlever/fleet/Link.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
     private static final int PATIENCE = 2;
 
     private final Terms terms;
+    private final Papers papers;
     private final EventLoop loop;
     private final SplittableRandom chance;
     private final Runnable beats;
@@ -46,18 +48,27 @@
     private Version prepared;
 
     /** Beats is run when one is due, and has to bring it by {@link #send}; both on the link's loop. */
-    Link(Terms terms, EventLoop loop, SplittableRandom chance, Runnable beats,
+    Link(Terms terms, Papers papers, EventLoop loop, SplittableRandom chance, Runnable beats,
          BiConsumer<Grant, Sight> granted) {
         this.terms = terms;
+        this.papers = papers;
         this.loop = loop;
         this.chance = chance;
         this.beats = beats;
         this.granted = granted;
         voters = new ArrayList<>(terms.voters().keySet());
+        papers.voters().forEach(this::mayAsk);
         asks = chance.nextInt(voters.size());
         loop.schedule(this::due, 1, TimeUnit.MILLISECONDS);
     }
 
+    /** Taken in since this router's file was written. */
+    private void mayAsk(String voter) {
+        if (terms.peers().containsKey(voter) && !voters.contains(voter)) {
+            voters.add(voter);
+        }
+    }
+
     private void due() {
         if (ended) {
             return;
@@ -146,6 +157,13 @@
             switch (Message.text(message, "do")) {
                 case "grant" -> {
                     unanswered = 0;
+                    List<String> members = Message.texts(message, "members");
+                    members.forEach(Link.this::mayAsk);
+                    try {
+                        papers.areTold(members);
+                    } catch (IOException fault) {
+                        Event.FLEET_STANDS.log(LOG, Level.ERROR, "", "can't write", fault.getMessage());
+                    }
                     force = filled(Message.version(message.get("force")), force, prepared);
                     prepared = filled(Message.version(message.get("prepared")), prepared, force);
                     if (force != null) {
@@ -157,10 +175,7 @@
                 }
                 case "follows" -> {
                     String leader = Message.text(message, "leader");
-                    if (terms.peers().containsKey(leader) && !voters.contains(leader)) {
-                        // Taken in since this router's file was written.
-                        voters.add(leader);
-                    }
+                    mayAsk(leader);
                     asks = voters.contains(leader) ? voters.indexOf(leader) : (asks + 1) % voters.size();
                     loop.schedule(() -> {
                         if (from == open) {
--- a/router/src/main/java/basaltlever/fleet/Papers.java
+++ b/router/src/main/java/basaltlever/fleet/Papers.java
@@ -14,7 +14,7 @@
 
 /**
  * What an instance's folder says of it: whose it is, under which charter it votes and with whom, and the latest
- * charter that it was told of. Written whole, synced and renamed, behind its sum; a folder of another router or
+ * charter and the latest voters that it was told of. Written whole, synced and renamed, behind its sum; a folder of another router or
  * fleet is refused, as is one that can't be read: who goes on with a guess could vote twice.
  */
 public final class Papers {
@@ -25,11 +25,13 @@
     private final Folder folder;
     private Seal seal;
     private long knows;
+    private List<String> voters;
 
-    private Papers(Folder folder, Seal seal, long knows) {
+    private Papers(Folder folder, Seal seal, long knows, List<String> voters) {
         this.folder = folder;
         this.seal = seal;
         this.knows = knows;
+        this.voters = voters;
     }
 
     /** Of the router by that name; throws with the reason where the folder is not its own. */
@@ -37,7 +39,8 @@
         Files.createDirectories(path);
         Folder folder = new Folder(path);
         if (!folder.names().contains(FILE)) {
-            return new Papers(folder, new Seal(fleet, name, UUID.randomUUID().toString(), 0, List.of()), 0);
+            return new Papers(folder, new Seal(fleet, name, UUID.randomUUID().toString(), 0, List.of()), 0,
+                List.of());
         }
         byte[] bytes = folder.read(FILE, LARGEST);
         if (bytes.length < Long.BYTES || ByteBuffer.wrap(bytes).getLong() != sum(bytes, Long.BYTES)) {
@@ -51,7 +54,7 @@
             throw new IOException(path + " is the folder of " + seal.name() + " of fleet " + seal.fleet() + ", not of "
                 + name + " of " + fleet);
         }
-        return new Papers(folder, seal, Message.number(all, "knows"));
+        return new Papers(folder, seal, Message.number(all, "knows"), Message.texts(all, "voters"));
     }
 
     private static long sum(byte[] bytes, int from) {
@@ -84,6 +87,18 @@
         }
     }
 
+    /** Who votes, as a leader told last: files may name voters that are long gone. Empty before that. */
+    synchronized List<String> voters() {
+        return voters;
+    }
+
+    synchronized void areTold(List<String> members) throws IOException {
+        if (!members.isEmpty() && !members.equals(voters)) {
+            voters = List.copyOf(members);
+            write();
+        }
+    }
+
     private void write() throws IOException {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("fleet", seal.fleet());
@@ -92,6 +107,7 @@
         all.put("charter", seal.charter());
         all.put("members", seal.members());
         all.put("knows", knows);
+        all.put("voters", voters);
         byte[] content = Message.write(all);
         ByteBuffer bytes = ByteBuffer.allocate(Long.BYTES + content.length).putLong(sum(content, 0)).put(content);
         folder.write(NEW, bytes.array());
--- a/router/src/main/java/basaltlever/fleet/Voter.java
+++ b/router/src/main/java/basaltlever/fleet/Voter.java
@@ -30,8 +30,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -137,8 +139,12 @@
 
     private List<Told> othersTell() {
         List<Told> all = new ArrayList<>();
-        for (String other : terms.voters().keySet()) {
-            Map<String, Object> told = other.equals(name) ? null : ask(other);
+        Set<String> others = new LinkedHashSet<>(terms.voters().keySet());
+        others.addAll(papers.voters());
+        others.retainAll(terms.peers().keySet());
+        others.remove(name);
+        for (String other : others) {
+            Map<String, Object> told = ask(other);
             if (told != null) {
                 all.add(new Told(other, Message.number(told, "charter"), Message.texts(told, "members"),
                     Message.text(told, "seal"), Message.flag(told, "fresh"), Message.flag(told, "leads")));
@@ -480,6 +486,7 @@
         told.put("beat", grant.beat());
         told.put("lasts", grant.lasts().micros());
         told.put("changes", grant.changes());
+        told.put("members", engine == null ? List.of() : engine.members());
         told.put("force", without(grant.inForce(), Message.number(beat, "force")));
         told.put("prepared", without(grant.prepared(), Message.number(beat, "keeps")));
         told.put("lists", Lists.of(sight));
