--- a/lab/src/main/java/basaltlever/lab/fleet/FleetScale.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/FleetScale.java
@@ -152,7 +152,7 @@
         census = new Census(leases, names, ASSIGNED);
         list = new TreeMap<>();
         for (int i = 0; i < memberCount; i++) {
-            list.put("db-" + i, new Said(Listing.READY, 1 + i % GROUPS, 0));
+            list.put("db-" + i, new Said(Listing.READY, 1 + i % GROUPS));
         }
         leases.elected(new Moment(0));
         census.elected(new Moment(0), seed);
@@ -318,7 +318,7 @@
     private void drain() {
         after(3_000_000, this::drain);
         String member = ready();
-        change(member, new Said(Listing.DRAINING, list.get(member).group(), 0));
+        change(member, new Said(Listing.DRAINING, list.get(member).group()));
         long of = generation;
         TreeMap<String, Said> told = list;
         boolean first = true;
@@ -338,7 +338,7 @@
         after(6_000_000, this::move);
         String member = ready();
         int group = 1 + list.get(member).group() % GROUPS;
-        change(member, new Said(Listing.READY, group, 0));
+        change(member, new Said(Listing.READY, group));
         long of = generation;
         TreeMap<String, Said> told = list;
         routers.forEach(router -> after(chance.nextInt(50_000), () -> tell(router, of, told)));
--- a/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
@@ -50,6 +50,7 @@
     private volatile ClientFront clients;
     private boolean restarting;
     private int restarts;
+    private volatile long slowestStart;
     private final World world;
     private final Faults faults;
 
@@ -184,6 +185,7 @@
         figures.put("cpu_us_a_statement", (routers.stream().mapToDouble(RouterProcess::cpuMicros).sum() - cpu)
             / Math.max(1, ((Number) figures.get("statements")).doubleValue()));
         figures.put("routers_restarted", restarts);
+        figures.put("restart_ms_most", slowestStart);
         figures.put("odd_lists", oddLists);
         figures.put("switches", switches);
         figures.put("routers_died", routers.stream().filter(router -> !router.process().isAlive()).count());
@@ -229,8 +231,10 @@
         Thread thread = new Thread(() -> {
             try {
                 router.process().destroyForcibly().waitFor();
+                long since = System.nanoTime();
                 router.start();
                 router.awaitReady();
+                slowestStart = Math.max(slowestStart, (System.nanoTime() - since) / 1_000_000);
             } catch (IOException | InterruptedException fault) {
                 fault.printStackTrace();
             }
--- a/router/src/main/java/basaltlever/agree/Roll.java
+++ b/router/src/main/java/basaltlever/agree/Roll.java
@@ -162,8 +162,8 @@
             MessageDigest sum = MessageDigest.getInstance("SHA-256");
             list.forEach((member, said) -> {
                 if (said.listing() != Listing.GONE) {
-                    sum.update((member + '\0' + said.listing() + '\0' + said.group() + '\0' + said.startedAtMs()
-                        + '\n').getBytes(StandardCharsets.UTF_8));
+                    sum.update((member + '\0' + said.listing() + '\0' + said.group() + '\n').getBytes(
+                        StandardCharsets.UTF_8));
                 }
             });
             sum.update(ByteBuffer.allocate(Long.BYTES).putLong(generation).array());
--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -198,8 +198,7 @@
         for (Object entry : entries) {
             Map<?, ?> member = (Map<?, ?>) entry;
             String id = (String) member.get("instanceId");
-            said.put(id, new Said(state(member), (int) number(member, "cell", 0), (long) number(member,
-                "startedAtMs", 0)));
+            said.put(id, new Said(state(member), (int) number(member, "cell", 0)));
             // One that is gone may be named without its address: it stays as it was told.
             if (address(member) != null || !latest.containsKey(id)) {
                 latest.put(id, member);
--- a/router/src/test/java/basaltlever/agree/ListsTest.java
+++ b/router/src/test/java/basaltlever/agree/ListsTest.java
@@ -184,7 +184,7 @@
             Map<String, Said> list = new TreeMap<>();
             members.forEach((name, member) -> {
                 if (member.listing != Listing.GONE) {
-                    list.put(name, new Said(member.listing, member.group, 0));
+                    list.put(name, new Said(member.listing, member.group));
                 }
             });
             return list;
@@ -283,9 +283,9 @@
         Map<String, Said> odd(FleetRun.Router router) {
             Map<String, Said> list = new TreeMap<>(truth());
             if (router.number == 1 && routers.size() > 3 && chance.nextInt(4) == 0) {
-                list.put("ghost" + chance.nextInt(3), new Said(Listing.READY, 1, 0));
+                list.put("ghost" + chance.nextInt(3), new Said(Listing.READY, 1));
                 list.replaceAll((name, said) -> new Said(Listing.READY, chance.nextInt(5) == 0
-                    ? 3 - said.group() : said.group(), 0));
+                    ? 3 - said.group() : said.group()));
             }
             return list;
         }
@@ -473,7 +473,7 @@
     }
 
     private static Map<String, Said> list(Listing listing, int group) {
-        return Map.of("m", new Said(listing, group, 0), "n", new Said(Listing.READY, 1, 0));
+        return Map.of("m", new Said(listing, group), "n", new Said(Listing.READY, 1));
     }
 
     private static Sight sight(long book, long seats, Report of, Verdict verdict) {
