Watch: pauses after failed calls of 1.5 s at most, a start waits for its first call's answer only

A call that has failed tells that nothing is to be had for now, so only the first call under way is waited for; and pauses stay within 0.5 to 1.5 s, so that some calls may fail within the 6 s in which news counts as told.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -203,8 +203,8 @@
         now = at;
         if (agreed.drains().askedFor()) {
             watchDue = now.plus(watchBackoff.times(0.5 + chance.nextDouble()));
-            // Two calls may fail within the 6 s in which news must be heard from a service that is back.
-            watchBackoff = watchBackoff.times(2).shorter(SECOND.times(1.5))
+            // Some calls may fail within the 6 s in which news must be heard from a service that is back.
+            watchBackoff = watchBackoff.times(2).shorter(SECOND)
                 .shorter(agreed.drains().mustAskIn().times(0.25));
         }
         settle();
--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -44,7 +44,6 @@
     private long applied = -1;
     private Tally heldOff;
     private long generation;
-    private boolean heard;
     private Recollection recollection = Recollection.NONE;
     private Consumer<String> absent = node -> { };
 
@@ -61,11 +60,6 @@
         return generation;
     }
 
-    /** Whether discovery has ever told this process a list, so that it goes by more than it was started with. */
-    public boolean isHeard() {
-        return heard;
-    }
-
     /** The next call brings the whole list. */
     public void forget() {
         generation = 0;
@@ -140,7 +134,6 @@
             number(member, "startedAtMs", 0);
         }
         generation = version;
-        heard |= asked;
         if (roll != null) {
             heed(now, entries, whole, version, asked);
             return;
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -313,7 +313,7 @@
         }
         long took = (System.nanoTime() - since) / 1_000;
         boolean seen = awaited > 0 && looks >= LOOKS * awaited || took > LONGEST_LOOK.micros();
-        if (seen && list.isHeard() || took > LONGEST_CALL.micros()) {
+        if (seen && !watch.isFirst() || took > LONGEST_CALL.micros()) {
             looked.setSuccess(null);
         } else {
             loop.schedule(() -> lookAround(looked, since), LOOK_AGAIN.micros(), TimeUnit.MICROSECONDS);
--- a/router/src/main/java/basaltlever/net/Watch.java
+++ b/router/src/main/java/basaltlever/net/Watch.java
@@ -44,6 +44,7 @@
     private Call standing;
     /** The latest call while it has not answered. */
     private Call opening;
+    private int calls;
 
     Watch(Bootstrap bootstrap, InetSocketAddress discovery, Turn turn, MemberList list, Core<String> core) {
         this.bootstrap = bootstrap;
@@ -68,6 +69,11 @@
         }
     }
 
+    /** Whether the first call is still under way; once it has failed, nothing is to be had for now. */
+    boolean isFirst() {
+        return calls == 1 && opening != null;
+    }
+
     /** Takes the place of an earlier call that is not answered yet, and of the watch once it is answered. */
     void start() {
         if (opening != null) {
@@ -75,6 +81,7 @@
         }
         Call call = new Call();
         opening = call;
+        calls++;
         ChannelFuture connecting = bootstrap.clone().handler(call).connect(discovery);
         call.channel = connecting.channel();
         call.check();
