A deduplicated repeat that waits for its connection is not sent once its window is over

Seen on reading: Balance.execute gave a moment to be sent by only to bounded reads that go by a proof. The stand-in's check of rule 2 holds every property run to it; HoldTest fails without.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -714,6 +714,7 @@
                 || statement.mayHaveRunSince().earlier(now).plus(terms.window()).isAfter(now.plus(early)))) {
             timeout = early;
         }
+        Moment within = write ? statement.mayHaveRunSince().plus(terms.window()) : Moment.NEVER;
         boolean opens = !isConnected(node);
         node.idle = opens ? 0 : node.idle - 1;
         statement.sentTo(node, now, opens);
@@ -729,11 +730,10 @@
             node.coldWork = coldLevel(node) + typical[statement.workload];
             node.coldAt = now;
         }
-        // A connection may have to be opened first, and later than this the proof no longer covers the bound.
+        // A connection may have to be opened first: later, no proof covers the bound and no window a repeat.
         boolean proven = terms.needs() == Needs.BOUNDED && !agreed.replication().replicasCheck()
             && node != statement.group.primary;
-        outbound.execute(statement.id, node.id, timeout,
-            proven ? node.position.plus(terms.bound()) : Moment.NEVER);
+        outbound.execute(statement.id, node.id, timeout, proven ? node.position.plus(terms.bound()) : within);
     }
 
     // ---- Further executions and final answers.
--- a/router/src/test/java/basaltlever/HoldTest.java
+++ b/router/src/test/java/basaltlever/HoldTest.java
@@ -207,6 +207,9 @@
         world.end(world.last(), Ending.RESET, Role.UNTOLD);
         world.later(100).poll(1, Role.PRIMARY, world.now);
         check(world.sent.size() == 2 && world.last().statement() == keyed, "sent to the new primary");
+        check(world.last().sendBy().equals(world.sent.get(0).at().plus(ms(600))),
+            "and not once its window is over, however late a connection stands");
+        check(!world.sent.get(0).sendBy().isBefore(Moment.NEVER), "the first has no window");
     }
 
     @Example
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -288,8 +288,9 @@
         if (terms.repeat() == Repeat.NON_IDEMPOTENT) {
             check(!fate.mayHaveRun && fate.out == 0, "rule 2: non-idempotent sent again");
         } else if (terms.repeat() == Repeat.DEDUPLICATED && (fate.mayHaveRun || fate.out > 0)) {
-            check(now.isBefore(fate.firstMaybe.plus(terms.window())),
-                "rule 2: sent again outside its window");
+            check(now.isBefore(fate.firstMaybe.plus(terms.window()))
+                && !sendBy.isAfter(fate.firstMaybe.plus(terms.window())),
+                "rule 2: sent again outside its window, now or once a connection stands");
         }
         if (node < members.size()) {
             checkNode(members.get(node), fate, terms);
