Tests: a listener closed over waiting connections, descriptors of those that linger

Need: both endings had code and no test of their own. DescriptorsTest runs 60 seeded runs: never more than may be open, all counts back; OwedTest holds the loop while 60 connections wait in the listener, then closes it.

--- /dev/null
+++ b/router/src/test/java/basaltlever/net/DescriptorsTest.java
@@ -0,0 +1,129 @@
+package basaltlever.net;
+
+import static basaltlever.StandIn.check;
+
+import basaltlever.time.Moment;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Who makes room where descriptors run out, and that those that linger are not counted as in use for ever. */
+class DescriptorsTest {
+    private static final int MOST = 64;
+    private static final int OVER = 8;
+
+    /** A connection as its owner tells of it; one of a client that has asked lingers when it is told to go. */
+    private static final class Party implements Descriptors.Idle {
+        final Descriptors in;
+        final boolean node;
+        boolean asked;
+        boolean lingers;
+        boolean closed;
+
+        Party(Descriptors in, boolean node) {
+            this.in = in;
+            this.node = node;
+        }
+
+        @Override
+        public void closeIdle() {
+            if (!node && asked && !lingers) {
+                lingers = true;
+                in.asksNoMore();
+                in.busy(this);
+                in.lingers(this);
+            } else {
+                close();
+            }
+        }
+
+        void close() {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            in.busy(this);
+            if (node) {
+                in.nodeClosed();
+            } else {
+                if (asked && !lingers) {
+                    in.asksNoMore();
+                }
+                in.clientClosed(this, lingers);
+            }
+        }
+
+        @Override
+        public Moment idleSince() {
+            return new Moment(0);
+        }
+    }
+
+    private static Party client(Descriptors in, List<Party> all, boolean asks) {
+        if (!in.admitsClient()) {
+            return null;
+        }
+        Party client = new Party(in, false);
+        all.add(client);
+        in.unasked(client);
+        if (asks) {
+            client.asked = true;
+            in.asks(client);
+            in.idleClient(client);
+        }
+        return client;
+    }
+
+    @Example
+    void idleClientsThatNeverCloseTheirSideLeaveRoomForNodes() {
+        Descriptors descriptors = new Descriptors(MOST);
+        List<Party> all = new ArrayList<>();
+        for (int i = 0; i < 10 * MOST; i++) {
+            client(descriptors, all, true);
+        }
+        for (int i = 0; i < MOST / 4; i++) {
+            check(descriptors.admitsNode(), "a connection to a node, or to discovery, has its place: " + i);
+        }
+        check(all.stream().filter(party -> party.lingers && !party.closed).count() >= OVER,
+            "the latest to be sent away have time to read on");
+    }
+
+    @Property(tries = 60, seed = "341", shrinking = ShrinkingMode.OFF)
+    void neverMoreThanMayBeOpenAndAllCountsComeBack(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        Descriptors descriptors = new Descriptors(MOST);
+        List<Party> all = new ArrayList<>();
+        for (int step = 0; step < 600; step++) {
+            switch (chance.nextInt(4)) {
+                case 0 -> client(descriptors, all, chance.nextBoolean());
+                case 1 -> {
+                    if (descriptors.admitsNode()) {
+                        Party node = new Party(descriptors, true);
+                        all.add(node);
+                        descriptors.idleNode(node);
+                    }
+                }
+                case 2 -> {
+                    if (!all.isEmpty() && chance.nextInt(3) == 0) {
+                        all.get(chance.nextInt(all.size())).close();
+                    }
+                }
+                default -> descriptors.shed(new Moment(9_000_000), basaltlever.time.Span.ofMillis(2_000));
+            }
+            long open = all.stream().filter(party -> !party.closed).count();
+            check(open <= MOST + OVER, "too many: " + open);
+        }
+        new ArrayList<>(all).forEach(Party::close);
+        int again = 0;
+        List<Party> fresh = new ArrayList<>();
+        while (again < MOST - MOST / 4 && client(descriptors, fresh, false) != null) {
+            again++;
+        }
+        check(again == MOST - MOST / 4 && fresh.stream().noneMatch(party -> party.closed),
+            "all came back: " + again);
+    }
+}
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -22,6 +22,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
@@ -37,6 +38,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import net.jqwik.api.Example;
@@ -60,6 +62,7 @@
         Turn turn;
         final int sockets;
         final Channel listener;
+        final Accepting accepting;
         final int port;
 
         Forgetful() throws Exception {
@@ -69,9 +72,10 @@
         Forgetful(int sockets) throws Exception {
             this.sockets = sockets;
             loop.submit(this::build).sync();
+            accepting = new Accepting(new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD,
+                turn.clock()::now));
             listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
-                .handler(new Accepting(new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD,
-                    turn.clock()::now)))
+                .option(ChannelOption.SO_BACKLOG, 100).handler(accepting)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -195,6 +199,44 @@
         }
     }
 
+    /** Those that the machine has accepted while the loop was busy are owed an answer like all others. */
+    @Example
+    void aListenerIsClosedOverNoConnectionThatWaitsInIt() throws Exception {
+        List<Client> waiting = new ArrayList<>();
+        try (Forgetful router = new Forgetful()) {
+            try (Client first = new Client(router.port)) {
+                first.start().answer();
+            }
+            CountDownLatch closes = new CountDownLatch(1);
+            CountDownLatch goesOn = new CountDownLatch(1);
+            router.loop.execute(() -> {
+                try {
+                    goesOn.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                router.accepting.closeOnceQuiet(router.listener, closes::countDown);
+            });
+            for (int i = 0; i < 60; i++) {
+                waiting.add(new Client(router.port).start());
+            }
+            goesOn.countDown();
+            check(closes.await(2, TimeUnit.SECONDS), "it is closed");
+            for (Client client : waiting) {
+                check(client.answer().isEmpty(), "each is welcomed");
+            }
+            try (Client late = new Client(router.port)) {
+                check(false, "nobody listens any more");
+            } catch (IOException refused) {
+                check(refused instanceof java.net.ConnectException, "" + refused);
+            }
+        } finally {
+            for (Client client : waiting) {
+                client.close();
+            }
+        }
+    }
+
     @Example
     void whoSentHalfOfAFirstStatementMakesRoom() throws Exception {
         List<Client> halves = new ArrayList<>();
