--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -694,7 +694,7 @@
                     out.writeBytes(new byte[] {'D', 0, 0});
                 }
                 while (as == Mode.SLOWLY && out.isReadable()) {
-                    send(socket, out.readBytes(1));
+                    socket.getOutputStream().write(out.readByte());
                 }
                 send(socket, out);
             }
