A connection that comes up carries its statement only once all is read that lay ready

Cause of the latter: NodeConnection.message wrote the waiting job as soon as the welcome was read, in the middle of a look at the sockets. After a turn that took long, the welcome and the client's close lie ready together, and whichever stands first wins. Now it is written in the acts of that turn, behind everything read (NodeLink.welcomed). ComesUpTest holds the loop until both lie ready, the welcome first: written at once without the change, never sent with it.

--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -210,12 +210,14 @@
                 job.endLost(Ending.NEVER_SENT, Ending.NEVER_SENT);
                 return;
             }
-            start(job, node, limit);
+            // From when it was decided: an end that is counted anew from here comes behind the statement's own.
+            start(job, node, job.until.since(turn.clock().now()));
         });
     }
 
     private void start(Job job, String node, Span limit) {
-        job.endsBy(loop.schedule(() -> job.giveUp(Ending.TIMED_OUT), limit.micros(), TimeUnit.MICROSECONDS));
+        job.endsBy(loop.schedule(() -> job.giveUp(Ending.TIMED_OUT), Math.max(1, limit.micros()),
+            TimeUnit.MICROSECONDS));
         links.apply(node).start(job);
     }
 
--- a/router/src/main/java/basaltlever/net/NodeConnection.java
+++ b/router/src/main/java/basaltlever/net/NodeConnection.java
@@ -38,6 +38,8 @@
     private Moment idleSince;
     /** Whether what came could not be read: the node lives and the statement may have run. */
     private boolean spoilt;
+    /** Whether it could carry its job by now. */
+    private boolean welcomed;
 
     /** Opens it for the job, which is its own until the job is over. */
     NodeConnection(NodeLink link, InetSocketAddress address, Budget budget, Job job) {
@@ -62,6 +64,16 @@
         return idleSince;
     }
 
+    /** The job that it was opened for, which may be over by now; null where this connection is. */
+    Job first() {
+        if (state != State.OPENING) {
+            return null;
+        }
+        Job first = job;
+        idle();
+        return first;
+    }
+
     void run(Job next) {
         state = State.BUSY;
         job = next;
@@ -93,7 +105,7 @@
         for (ByteBuf m = frames.next(); m != null && state != State.CLOSED; m = frames.next()) {
             message(m);
         }
-        if (state == State.IDLE && frames.size() > 0) {
+        if ((state == State.IDLE || state == State.OPENING && welcomed) && frames.size() > 0) {
             // Its rest would be taken for the beginning of the next query's answer.
             throw new PgFault(Pg.VIOLATION, "half a message that nobody asked for");
         }
@@ -105,14 +117,13 @@
             if (answer.add(message)) {
                 finished();
             }
-        } else if (type == Pg.READY && state == State.OPENING) {
+        } else if (type == Pg.READY && state == State.OPENING && !welcomed) {
             if (frames.size() > 0) {
                 throw new PgFault(Pg.VIOLATION, "more than a welcome");
             }
             upBy.cancel(false);
-            Job first = job;
-            idle();
-            link.run(this, first);
+            welcomed = true;
+            link.welcomed(this);
         } else if (type == Pg.ERROR && state == State.OPENING) {
             LOG.debug("{} turned a connection away: {}", link, Answer.field(message, 'C'));
             close();
--- a/router/src/main/java/basaltlever/net/NodeLink.java
+++ b/router/src/main/java/basaltlever/net/NodeLink.java
@@ -18,7 +18,7 @@
     private final String name;
     private final Bootstrap bootstrap;
     private final EventLoop loop;
-    private final Clock clock;
+    private final Turn turn;
     private final Descriptors descriptors;
     private final Budget budget;
     private Span connectTimeout;
@@ -32,12 +32,12 @@
     private boolean sweeping;
 
     /** An idle connection is closed a connect time-out before the node may: a path can take that long. */
-    NodeLink(String name, Bootstrap bootstrap, EventLoop loop, Clock clock, Descriptors descriptors,
+    NodeLink(String name, Bootstrap bootstrap, EventLoop loop, Turn turn, Descriptors descriptors,
              Budget budget, Span connectTimeout, Span idleClose, Tally bad) {
         this.name = name;
         this.bootstrap = bootstrap;
         this.loop = loop;
-        this.clock = clock;
+        this.turn = turn;
         this.descriptors = descriptors;
         this.budget = budget;
         this.bad = bad;
@@ -77,7 +77,7 @@
     }
 
     Moment now() {
-        return clock.now();
+        return turn.clock().now();
     }
 
     void at(InetSocketAddress now) {
@@ -130,6 +130,19 @@
         });
     }
 
+    /**
+     * Not at once: what else is read in this look at the sockets may be that the client has gone. After a turn
+     * that took long both have waited, and a statement went out for a client that had left long before.
+     */
+    void welcomed(NodeConnection connection) {
+        turn.hear(now -> turn.act(() -> {
+            Job first = connection.first();
+            if (first != null) {
+                run(connection, first);
+            }
+        }));
+    }
+
     /** Its job may have ended while the connection came up. */
     void run(NodeConnection connection, Job job) {
         if (job.isOver() || job.isTooLate(now())) {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -390,7 +390,7 @@
         connectWithin(values.connectTimeout());
         Tally badNodes = new Tally(LoggerFactory.getLogger(NodeLink.class), Event.NODE_BAD, clock::now);
         Function<String, NodeLink> linkTo = node -> links.computeIfAbsent(node, name -> new NodeLink(name,
-            outwards, loop, clock, descriptors, budget, inForce.values().connectTimeout(),
+            outwards, loop, turn, descriptors, budget, inForce.values().connectTimeout(),
             inForce.values().idleClose(), badNodes));
         carrier = new Carrier(turn, loop, linkTo, this::forget, values.gauges(0),
             values.connectTimeout(), budget, lives);
@@ -411,8 +411,19 @@
         watch = new Watch(outwards, start.discovery(), turn, list, core);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
-        loop.scheduleWithFixedDelay(this::sweep, SWEEPS.micros(), SWEEPS.micros(), TimeUnit.MICROSECONDS);
-        loop.scheduleWithFixedDelay(this::readTables, READS.micros(), READS.micros(), TimeUnit.MICROSECONDS);
+        every(SWEEPS, "sweeping", this::sweep);
+        every(READS, "reading tables", this::readTables);
+    }
+
+    /** A task that is repeated would never run again after one fault. */
+    private void every(Span period, String what, Runnable step) {
+        loop.scheduleWithFixedDelay(() -> {
+            try {
+                step.run();
+            } catch (RuntimeException fault) {
+                Event.FAULT.fault(LOG, "", fault, what);
+            }
+        }, period.micros(), period.micros(), TimeUnit.MICROSECONDS);
     }
 
     private void sweep() {
--- /dev/null
+++ b/router/src/test/java/basaltlever/net/ComesUpTest.java
@@ -0,0 +1,111 @@
+package basaltlever.net;
+
+import static basaltlever.StandIn.check;
+
+import basaltlever.gateway.Ending;
+import basaltlever.log.Event;
+import basaltlever.log.Tally;
+import basaltlever.pg.Answer;
+import basaltlever.pg.Budget;
+import basaltlever.pg.Write;
+import basaltlever.time.Moment;
+import basaltlever.time.Span;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.slf4j.LoggerFactory;
+
+/** A connection to a node comes up in the very look at the sockets that finds its statement's client gone. */
+class ComesUpTest {
+    /** Over once its client has gone, as the decisions make it. */
+    private static final class Waits extends Job {
+        final CompletableFuture<String> became = new CompletableFuture<>();
+        boolean hasLeft;
+
+        @Override
+        void write(ByteBuf out) {
+            became.complete("written");
+            Write.query(out, "SELECT 1");
+        }
+
+        @Override
+        boolean isTooLate(Moment now) {
+            return hasLeft;
+        }
+
+        @Override
+        void answered(Answer answer) {
+            answer.release();
+        }
+
+        @Override
+        void lost(Ending ending) {
+            became.complete("" + ending);
+        }
+    }
+
+    @Example
+    void nothingIsSentForAClientWhoseEndIsReadInTheSameLook() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+        InetAddress here = InetAddress.getLoopbackAddress();
+        try (ServerSocket node = new ServerSocket(0, 5, here); ServerSocket front = new ServerSocket(0, 5, here)) {
+            Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
+            Waits job = new Waits();
+            Turn turn = loop.submit(() -> new Turn(loop, new Clock())).sync().getNow();
+            bootstrap.clone().handler(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelInactive(ChannelHandlerContext context) {
+                    turn.hear(now -> job.hasLeft = true);
+                }
+            }).connect(front.getLocalSocketAddress()).sync();
+            loop.submit(() -> {
+                NodeLink link = new NodeLink("s-1", bootstrap, loop, turn, new Descriptors(50), new Budget(1 << 20),
+                    Span.ofMillis(5_000), Span.ofMillis(9_000), new Tally(LoggerFactory.getLogger(ComesUpTest.class),
+                        Event.NODE_BAD, turn.clock()::now));
+                link.at((InetSocketAddress) node.getLocalSocketAddress());
+                link.start(job);
+            }).sync();
+            try (Socket client = front.accept(); Socket opened = node.accept()) {
+                opened.getInputStream().read(new byte[200]);
+                CountDownLatch stands = new CountDownLatch(1);
+                CountDownLatch goesOn = new CountDownLatch(1);
+                loop.execute(() -> {
+                    stands.countDown();
+                    try {
+                        goesOn.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                stands.await();
+                ByteBuf welcome = Unpooled.buffer();
+                Write.welcome(welcome);
+                opened.getOutputStream().write(ByteBufUtil.getBytes(welcome));
+                client.close();
+                // For both to lie ready; the node's is first in line.
+                Thread.sleep(20);
+                goesOn.countDown();
+                check(List.of("NEVER_SENT").contains(job.became.get(2, TimeUnit.SECONDS)), job.became.get());
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+}
