--- a/router/src/test/java/basaltlever/ProcessTest.java
+++ b/router/src/test/java/basaltlever/ProcessTest.java
@@ -6,6 +6,8 @@
 import basaltlever.StandIn.SocketWorld;
 import basaltlever.StandIn.SocketWorld.Client;
 import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,6 +77,53 @@
         }
     }
 
+    private static void signal(Process process, String... names) throws Exception {
+        for (String name : names) {
+            new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+        }
+    }
+
+    @Example
+    void aSignalToEndInTheMiddleOfAReloadLosesNothing() throws Exception {
+        try (SocketWorld world = new SocketWorld(false)) {
+            Process process = start(world.file, "serve");
+            try (Client client = connect(world.port, process)) {
+                client.start().answer();
+                check(client.ask(statement("c1", "view", 1_800)).answer().equals("row:c1"), "at first");
+                world.nodes.get(0).mode = SocketWorld.Mode.SILENT;
+                client.ask(statement("c2", "post", 900));
+                for (int i = 0; i < 100 && !world.ran.containsKey("c2"); i++) {
+                    Thread.sleep(10);
+                }
+                world.moveDiscovery();
+                signal(process, "HUP", "HUP", "TERM", "HUP", "TERM");
+                check(client.answer().startsWith("error:58000"), "what may have run is told as that");
+                check(client.answer().equals("closed"), "then its connection ends");
+                check(process.waitFor(10, TimeUnit.SECONDS) && process.exitValue() == 0, "exit 0");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @Example
+    void aSignalToEndDuringStartIsHeardAtOnce() throws Exception {
+        try (SocketWorld world = new SocketWorld(false); ServerSocket mute = SocketWorld.listen(0)) {
+            world.writeStart(text -> text.replaceAll("\"discovery\":\"[^\"]*\"",
+                "\"discovery\":\"127.0.0.1:" + mute.getLocalPort() + "\""));
+            Process process = start(world.file, "serve");
+            try (Socket call = mute.accept()) {
+                // It waits for its first list now, and listens for nobody yet.
+                long since = System.nanoTime();
+                signal(process, "TERM");
+                check(process.waitFor(10, TimeUnit.SECONDS) && process.exitValue() == 0, "exit 0");
+                check(System.nanoTime() - since < 1_500_000_000L, "nothing is owed to anybody");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Example
     void mistakesOfTheUserEndWithTwo() throws Exception {
         for (String[] arguments : new String[][] {{}, {"nonsense"}, {"serve"}, {"check"}, {"version", "x"}}) {
