Tests: an answer that never ends, and statements beyond what may be open

Need: two rows of docs/endings.md had no test of their own. A node that sends statuses without end costs its statement its time and its connection, others go on; beyond MaxOpen the newcomer is rejected at once and the rest ends as ever.

--- a/router/src/test/java/basaltlever/EndingsTest.java
+++ b/router/src/test/java/basaltlever/EndingsTest.java
@@ -255,6 +255,62 @@
         }
     }
 
+    @Example
+    void anAnswerThatNeverEndsCostsItsStatementNoMoreThanItsTime() throws Exception {
+        try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port);
+             Client other = new Client(world.port)) {
+            client.start().answer();
+            other.start().answer();
+            world.nodes.get(0).mode = Mode.ENDLESS;
+            long since = System.nanoTime();
+            client.ask(statement("k1", "post", 600));
+            awaits(() -> world.ran.containsKey("k1"));
+            check(other.ask(statement("k2", "view", 500)).answer().equals("row:k2"), "others go on meanwhile");
+            check(client.answer().startsWith("error:58000"), "it may have run");
+            check(System.nanoTime() - since < 900_000_000L, "in its time");
+            world.nodes.get(0).mode = Mode.ROW;
+            String next = "";
+            for (int i = 0; i < 60 && !next.equals("row:k3"); i++) {
+                next = client.ask(statement("k3", "post", 900)).answer();
+            }
+            check(next.equals("row:k3"), "on another connection: " + next);
+        }
+    }
+
+    @Example
+    void whatIsBeyondWhatMayBeOpenIsRejectedAtOnceAndTheRestEndsAsEver() throws Exception {
+        try (SocketWorld world = new SocketWorld(false)) {
+            world.writeStart(text -> text.replace("\"MaxOpen\":500", "\"MaxOpen\":2"));
+            world.router.start(world.file, null);
+            world.nodes.forEach(node -> node.mode = Mode.SILENT);
+            List<Client> clients = new ArrayList<>();
+            try {
+                for (int i = 0; i < 3; i++) {
+                    Client client = new Client(world.port).start();
+                    clients.add(client);
+                    client.answer();
+                }
+                for (int i = 0; i < 2; i++) {
+                    String id = "l" + i;
+                    clients.get(i).ask(statement(id, "post", 700));
+                    settled(world);
+                }
+                long since = System.nanoTime();
+                check(rejected(clients.get(2).ask(statement("l2", "post", 700)).answer()), "turned away");
+                check(System.nanoTime() - since < 400_000_000L, "at once");
+                for (int i = 0; i < 2; i++) {
+                    check(clients.get(i).answer().startsWith("error:"), "one end each");
+                }
+                world.nodes.forEach(node -> node.mode = Mode.ROW);
+                check(clients.get(2).ask(statement("l3", "view", 900)).answer().startsWith("row:l3"), "room again");
+            } finally {
+                for (Client client : clients) {
+                    client.close();
+                }
+            }
+        }
+    }
+
     /** Rule 1 at the rare moments: who has gone is owed nothing, and nothing begins for it. */
     @Property(tries = 3, seed = "34", shrinking = ShrinkingMode.OFF)
     void nothingBeginsForWhoHasGone(@ForAll long seed) throws Exception {
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -504,7 +504,7 @@
         /** What a node does with a statement. */
         enum Mode {
             ROW, SLOWLY, LARGE, NOT_PRIMARY, BEHIND, ERROR, FULL, OTHER, SILENT, BREAKS, GARBAGE, TWO_ROWS,
-            TWO_COLUMNS, ERROR_AFTER_ROW, FATAL, CUT, TWICE, NOISE_BEHIND, WRONG_LENGTH, HUGE;
+            TWO_COLUMNS, ERROR_AFTER_ROW, FATAL, CUT, TWICE, NOISE_BEHIND, WRONG_LENGTH, HUGE, ENDLESS;
 
             /** True where a good answer comes, whatever comes behind it. */
             boolean completes() {
@@ -660,6 +660,13 @@
                         socket.close();
                         return;
                     }
+                    case ENDLESS -> {
+                        // Until the other side has had enough.
+                        Write.status(out, "more", "and more");
+                        while (true) {
+                            send(socket, out.duplicate());
+                        }
+                    }
                     case GARBAGE -> out.writeBytes("this is no message".getBytes(StandardCharsets.UTF_8));
                     case TWO_COLUMNS -> out.writeBytes(description(2)).writeBytes(data(2, id));
                     case ROW, SLOWLY, ERROR_AFTER_ROW, CUT, TWICE, NOISE_BEHIND -> row(out, id);
