--- a/router/src/test/java/basaltlever/KeeperTest.java
+++ b/router/src/test/java/basaltlever/KeeperTest.java
@@ -319,7 +319,8 @@
                 world.refusesCalls = false;
                 long back = System.nanoTime();
                 String answer = "";
-                for (int i = 0; !answer.startsWith("row:") && System.nanoTime() - back < 2_500_000_000L; i++) {
+                for (int i = 0; !answer.startsWith("row:")
+                    && System.nanoTime() - back < 2_500_000_000L; i++) {
                     answer = client.ask(statement("f" + i, "view", 1_900)).answer();
                 }
                 check(answer.startsWith("row:"), "served once listed, a pause of 1.5 s later at most");
