--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -197,8 +197,8 @@
     @Override
     public void execute(long ticket, int execution, String node, Span timeout, Moment sendBy) {
         Taken taken = statements.get(ticket);
-        Span left = taken.owedBy.since(turn.now());
-        Span limit = timeout.micros() == 0 ? left : timeout.shorter(left);
+        Span owed = taken.owedBy.since(turn.now());
+        Span limit = timeout.micros() == 0 ? owed : timeout.shorter(owed);
         Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
         if (taken.life != null) {
@@ -206,12 +206,13 @@
         }
         taken.out++;
         turn.act(() -> {
-            if (taken.answered || limit.micros() <= 0) {
+            // From when it was decided: an end that is counted anew from here comes behind the statement's own.
+            Span left = job.until.since(turn.clock().now());
+            if (taken.answered || left.micros() <= 0) {
                 job.endLost(Ending.NEVER_SENT, Ending.NEVER_SENT);
                 return;
             }
-            // From when it was decided: an end that is counted anew from here comes behind the statement's own.
-            start(job, node, job.until.since(turn.clock().now()));
+            start(job, node, left);
         });
     }
 
