--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -206,7 +206,7 @@
         }
         taken.out++;
         turn.act(() -> {
-            // From when it was decided: an end that is counted anew from here comes behind the statement's own.
+            // From when it was decided: counted anew from here, its end comes behind that of the statement.
             Span left = job.until.since(turn.clock().now());
             if (taken.answered || left.micros() <= 0) {
                 job.endLost(Ending.NEVER_SENT, Ending.NEVER_SENT);
