--- a/router/src/test/java/basaltlever/KnownRedTest.java
+++ b/router/src/test/java/basaltlever/KnownRedTest.java
@@ -26,8 +26,19 @@
     private static final String FAILURE = "<failure message=\"x\" type=\"y\"><![CDATA[at z]]></failure>";
 
     private static String judged(String known, String red, String other) throws IOException, InterruptedException {
-        Path folder = Files.createTempDirectory("known");
+        return judged(known, red, other, "ATest");
+    }
+
+    /** The classes are those that were to run, whatever became of them. */
+    private static String judged(String known, String red, String other, String... classes)
+        throws IOException, InterruptedException {
+        Path above = Files.createTempDirectory("known");
+        Path folder = Files.createDirectory(above.resolve("surefire-reports"));
+        Path built = Files.createDirectories(above.resolve("test-classes/basaltlever"));
         try {
+            for (String name : classes) {
+                Files.createFile(built.resolve(name + ".class"));
+            }
             Files.writeString(folder.resolve("KNOWN-RED.txt"), known);
             Files.writeString(folder.resolve("TEST-basaltlever.ATest.xml"), REPORT.formatted(1, red, other));
             Path script = Path.of("").toAbsolutePath();
@@ -39,12 +50,11 @@
             String said = new String(judge.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             return judge.waitFor() + " " + said;
         } finally {
-            try (var files = Files.list(folder)) {
-                for (Path file : files.toList()) {
+            try (var files = Files.walk(above)) {
+                for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
                     Files.delete(file);
                 }
             }
-            Files.delete(folder);
         }
     }
 
@@ -59,6 +69,12 @@
         check(judged("\n", FAILURE, "").startsWith("1 "), "and one fails");
     }
 
+    @Example
+    void aClassWithoutAReportIsNoPass() throws Exception {
+        String said = judged(RED + " | the cause | 34\n", FAILURE, "", "ATest", "BrokeOffTest");
+        check(said.startsWith("1 ") && said.contains("basaltlever.BrokeOffTest has no report"), said);
+    }
+
     @Example
     void aFaultyLineIsNoExcuse() throws Exception {
         for (String bad : List.of(RED + "\n", RED + " | cause\n", RED + " | | 34\n", RED + " | cause | \n",
