A flood has one share of each turn; an answer that can become none ends its execution at once

Seen on reading: ClientConnection.pump puts itself off after 16 messages, and each read of the same client calls it again, with 16 more and a put-off of its own: FloodTest counts 100 to 140 answers of one client in one iteration of the loop, 32 at most now (each read only adds to what waits). Each small answer was a write of its own; those of one turn go out together. Answer kept the letter of each message for as long as a node went on: rows without end grew it for the execution's whole time, and the statement waited for that time. Beyond one row, or 2 MB, the connection is closed and the execution has an unknown end. Tests: FloodTest, EndingsTest.anAnswerThatCanBecomeNoneEndsItsExecutionAtOnce, both red without; EndingsTest, ParserTest green.

--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -57,6 +57,8 @@
     private boolean skipping;
     private boolean asked;
     private boolean lingers;
+    /** Whether the rest of what was read has its turn yet to come. */
+    private boolean goesOn;
     private final Moment since;
     private Moment idleSince;
     /** Since when a message has been under way; never where none is. */
@@ -99,12 +101,10 @@
     /** Goes on while no statement is under way and the client takes its answers. */
     private void pump() {
         try {
-            int left = AT_ONCE;
+            int left = goesOn ? 0 : AT_ONCE;
             while ((state == State.STARTING || state == State.READY) && context.channel().isWritable()) {
                 if (left-- == 0) {
-                    // A task would run before the loop reads again: one client that sends much at once
-                    // kept all others, and every timer's answer, waiting.
-                    context.channel().eventLoop().schedule(this::pump, 0, TimeUnit.NANOSECONDS);
+                    goesOn();
                     break;
                 }
                 ByteBuf message = state == State.STARTING ? frames.nextUntyped() : frames.next();
@@ -118,6 +118,8 @@
                     message(message);
                 }
             }
+            // Once for all of them: each is a few bytes, and a write of its own costs more than all else about it.
+            context.flush();
             partSince = frames.size() == 0 ? Moment.NEVER : partSince.earlier(clients.now());
             if (state == State.READY && asked && frames.size() == 0 && clients.closesIdle()) {
                 // Only now: what was read behind an answer is taken, also by a router that ends.
@@ -141,6 +143,20 @@
         }
     }
 
+    /**
+     * A task would run before the loop reads again: one client that sends much at once kept all others, and
+     * every timer's answer, waiting. Once at a time, or each read of such a client would add a share of its own.
+     */
+    private void goesOn() {
+        if (!goesOn) {
+            goesOn = true;
+            context.channel().eventLoop().schedule(() -> {
+                goesOn = false;
+                pump();
+            }, 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
     /** A client that says nothing, or half of something, holds a descriptor for no use. */
     void endOverdue(Moment now) {
         boolean overdue = now.since(asked ? partSince : since).isLongerThan(PATIENCE);
@@ -254,11 +270,12 @@
         }
     }
 
+    /** Goes out with the others of its turn in pump. */
     private void reply(java.util.function.Consumer<ByteBuf> what) {
         ByteBuf out = context.alloc().buffer();
         what.accept(out);
         Write.ready(out);
-        context.writeAndFlush(out);
+        context.write(out);
     }
 
     /** The final answer as a node gave it; the slices are taken over. */
--- a/router/src/main/java/basaltlever/net/NodeConnection.java
+++ b/router/src/main/java/basaltlever/net/NodeConnection.java
@@ -116,6 +116,8 @@
         if (state == State.BUSY) {
             if (answer.add(message)) {
                 finished();
+            } else if (answer.isHopeless()) {
+                throw new PgFault(Pg.VIOLATION, "an answer is no row, or goes on without end");
             }
         } else if (type == Pg.READY && state == State.OPENING && !welcomed) {
             if (frames.size() > 0) {
--- a/router/src/main/java/basaltlever/pg/Answer.java
+++ b/router/src/main/java/basaltlever/pg/Answer.java
@@ -9,6 +9,8 @@
 /** What a node says to one query, up to its ReadyForQuery. */
 public final class Answer {
     private static final int LONGEST_TEXT = 1_024;
+    /** Bytes of all its messages together: twice what the longest row may take up. */
+    private static final int MOST = 1 << 21;
     /** What stands behind a column's name in its description. */
     private static final int COLUMN_TYPE = 18;
     private static final Pattern MILLIS = Pattern.compile("[0-9]{1,15}");
@@ -18,12 +20,14 @@
     private final StringBuilder order = new StringBuilder();
     private String error;
     private boolean spoilt;
+    private int size;
     public String role = "";
     /** Unix milliseconds, 0 where none was told. */
     public long position;
 
     /** True once the answer is whole. */
     public boolean add(ByteBuf message) throws PgFault {
+        size += message.readableBytes();
         byte type = message.getByte(message.readerIndex());
         switch (type) {
             case Pg.ROW_DESCRIPTION, Pg.DATA_ROW, Pg.COMPLETE -> {
@@ -54,6 +58,11 @@
         return !spoilt && error == null && order.toString().equals("TDC");
     }
 
+    /** What comes can't become one row or one error any more: its end, which might never come, says nothing. */
+    public boolean isHopeless() {
+        return spoilt || size > MOST;
+    }
+
     /** The code of an error that stands alone, or null: an error behind a row proves nothing. */
     public String error() {
         return spoilt ? null : error;
--- a/router/src/test/java/basaltlever/EndingsTest.java
+++ b/router/src/test/java/basaltlever/EndingsTest.java
@@ -277,6 +277,21 @@
         }
     }
 
+    /** Its end might never come: a second row is one too many, and so is what no row could take up. */
+    @Example
+    void anAnswerThatCanBecomeNoneEndsItsExecutionAtOnce() throws Exception {
+        try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port)) {
+            client.start().answer();
+            for (Mode mode : List.of(Mode.ENDLESS_ROWS, Mode.ENDLESS)) {
+                world.nodes.get(0).mode = mode;
+                long since = System.nanoTime();
+                check(client.ask(statement("m" + mode, "post", 7_000)).answer().startsWith("error:58000"), "it may have run");
+                check(System.nanoTime() - since < 5_000_000_000L, "long before its time: " + mode);
+                world.nodes.get(0).mode = Mode.ROW;
+            }
+        }
+    }
+
     @Example
     void whatIsBeyondWhatMayBeOpenIsRejectedAtOnceAndTheRestEndsAsEver() throws Exception {
         try (SocketWorld world = new SocketWorld(false)) {
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -504,7 +504,8 @@
         /** What a node does with a statement. */
         enum Mode {
             ROW, SLOWLY, LARGE, NOT_PRIMARY, BEHIND, ERROR, FULL, OTHER, SILENT, BREAKS, GARBAGE, TWO_ROWS,
-            TWO_COLUMNS, ERROR_AFTER_ROW, FATAL, CUT, TWICE, NOISE_BEHIND, WRONG_LENGTH, HUGE, ENDLESS;
+            TWO_COLUMNS, ERROR_AFTER_ROW, FATAL, CUT, TWICE, NOISE_BEHIND, WRONG_LENGTH, HUGE, ENDLESS,
+            ENDLESS_ROWS;
 
             /** True where a good answer comes, whatever comes behind it. */
             boolean completes() {
@@ -660,9 +661,14 @@
                         socket.close();
                         return;
                     }
-                    case ENDLESS -> {
+                    case ENDLESS, ENDLESS_ROWS -> {
                         // Until the other side has had enough.
-                        Write.status(out, "more", "and more");
+                        if (as == Mode.ENDLESS_ROWS) {
+                            send(socket, out.writeBytes(description(1)).writeBytes(data(1, id)));
+                            out.clear().writeBytes(data(1, id));
+                        } else {
+                            Write.status(out, "more", "and more");
+                        }
                         while (true) {
                             send(socket, out.duplicate());
                         }
