Tests: a router makes hardly any classes while it serves; a fault in the decisions aborts at once

Need: docs/endings.md had no test for decisions that throw; and nothing held a router to making no classes of its own on the loop. OwedTest plants a fault in what the decisions want done. No code of the program.

--- a/router/src/test/java/basaltlever/ProcessTest.java
+++ b/router/src/test/java/basaltlever/ProcessTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,8 +18,13 @@
 /** The program as a process of its own: from the built jar where one is named, else from the classes. */
 class ProcessTest {
     private static Process start(Path file, String... arguments) throws IOException {
+        return start(List.of(), file, arguments);
+    }
+
+    private static Process start(List<String> flags, Path file, String... arguments) throws IOException {
         String jar = System.getProperty("basaltlever.jar");
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+        command.addAll(flags);
         command.addAll(jar != null ? List.of("-jar", jar)
             : List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main"));
         command.addAll(List.of(arguments));
@@ -38,6 +44,39 @@
         throw new AssertionError("it never listened");
     }
 
+    /** Each is read, checked and linked on the loop, in the moment in which something happens for the first time. */
+    @Example
+    void aRouterMakesHardlyAnyClassesOfItsOwnWhileItServes() throws Exception {
+        Path log = Files.createTempFile("classes", ".log");
+        try (SocketWorld world = new SocketWorld(false)) {
+            Process process = start(List.of("-Xlog:class+load:file=" + log), world.file, "serve");
+            try (Client client = connect(world.port, process)) {
+                client.start().answer();
+                for (SocketWorld.Mode mode : List.of(SocketWorld.Mode.ROW, SocketWorld.Mode.ERROR,
+                        SocketWorld.Mode.GARBAGE, SocketWorld.Mode.BREAKS)) {
+                    world.nodes.forEach(node -> node.mode = mode);
+                    client.ask(statement("c" + mode, "view", 900)).answer();
+                    client.ask(statement("d" + mode, "post", 900)).answer();
+                }
+                process.destroy();
+                check(process.waitFor(10, TimeUnit.SECONDS), "it ends");
+            } finally {
+                process.destroyForcibly();
+            }
+            List<String> loaded = Files.readAllLines(log);
+            check(loaded.size() > 500, "what it loads is told");
+            check(count(loaded, "LambdaForm$MH") <= 20, "texts and the like: " + count(loaded, "LambdaForm$MH"));
+            check(count(loaded, "jdk.jfr.internal.handlers") == 0, "events for recordings that nobody makes");
+            check(count(loaded, "jcommander.JCommander") == 0, "a command line that says nothing");
+        } finally {
+            Files.delete(log);
+        }
+    }
+
+    private static long count(List<String> loaded, String what) {
+        return loaded.stream().filter(line -> line.contains(what)).count();
+    }
+
     @Example
     void itServesAStatementAndEndsOnASignalWithZero() throws Exception {
         try (SocketWorld world = new SocketWorld(false)) {
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -59,7 +59,10 @@
         final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Clients clients;
+        Carrier carrier;
         Turn turn;
+        /** Whether what the decisions want done is a fault from here on. */
+        volatile boolean throwsUp;
         final int sockets;
         final Channel listener;
         final Accepting accepting;
@@ -92,10 +95,15 @@
             turn = new Turn(loop, clock);
             Budget budget = new Budget(1 << 24);
             Lives lives = new Lives(null, clock::now);
-            Carrier carrier = new Carrier(turn, loop, node -> null, node -> { }, new Gauges(List.of(), 0),
+            carrier = new Carrier(turn, loop, node -> null, node -> { }, new Gauges(List.of(), 0),
                 Span.ofMillis(100), budget, lives);
             Outside<String> silent = (Outside<String>) Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {Outside.class}, (proxy, method, arguments) -> null);
+                new Class<?>[] {Outside.class}, (proxy, method, arguments) -> {
+                    if (throwsUp) {
+                        throw new IllegalStateException("planted");
+                    }
+                    return null;
+                });
             clients = new Clients(turn, new Descriptors(sockets), values.workloadNames(), 500, budget,
                 new Tally(LoggerFactory.getLogger(OwedTest.class), Event.CLIENT_BAD, clock::now), lives);
             Core<String> core = new Core<>(silent, values.balance(1, clock.now(), values.holds()));
@@ -187,6 +195,20 @@
         check(order.equals(List.of("news", "statement")), "" + order);
     }
 
+    /** Nothing is proven of it, so it is aborted; at once, and it is out of the books. */
+    @Example
+    void aFaultInTheDecisionsAbortsTheStatementAtOnce() throws Exception {
+        try (Forgetful router = new Forgetful(); Client client = new Client(router.port)) {
+            client.start().answer();
+            router.throwsUp = true;
+            long sent = System.nanoTime();
+            String answer = client.ask(statement("f1", "list", 5_000)).answer();
+            check(answer.startsWith("error:58000") && millisSince(sent) < 2_500, answer + millisSince(sent));
+            check(router.loop.submit(router.carrier::open).sync().getNow().equals(0), "none is open");
+            check(client.ask("").answer().equals("I"), "and its connection goes on");
+        }
+    }
+
     @Example
     void aFaultOfTheListenerKeepsNobodyWaiting() throws Exception {
         try (Forgetful router = new Forgetful()) {
