SIGHUP is heard from the first moment of a start; a router that can't listen ends on a signal

Seen on reading the ways in which a start ends: Main.serve took SIGHUP over only behind the loggers and Router's class, so that a reload sent to a process that was just started ended it (left to itself the runtime exits on that signal). Router.start shut its loop down where the bind failed (or a fleet could not be joined) without telling that it had stopped: a SIGTERM in that moment waited for ever, or met a loop that rejects tasks (Router.drain, lines at fault: loop.execute, the group.shutdownGracefully of the two failures).

--- a/router/src/main/java/basaltlever/cli/Main.java
+++ b/router/src/main/java/basaltlever/cli/Main.java
@@ -5,6 +5,7 @@
 import basaltlever.config.OperatorFile;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
+import basaltlever.log.Event;
 import basaltlever.net.Router;
 import basaltlever.time.Span;
 import com.beust.jcommander.JCommander;
@@ -16,7 +17,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Semaphore;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line: picks what stands in front of the decisions. */
 public final class Main {
@@ -145,6 +149,10 @@
     }
 
     private static void serve(String file, String operator, Integer follow) throws InterruptedException {
+        // Before anything else: left to itself, the runtime ends on this signal, and all that is set up from here
+        // on takes its time. One that comes while starting is heard afterwards.
+        Semaphore asked = new Semaphore(0);
+        boolean deaf = Signal.handle(new Signal("HUP"), signal -> asked.release()) == SignalHandler.SIG_IGN;
         if (follow != null && follow < 0) {
             System.err.println("basaltlever: --follow takes milliseconds, 0 or more, not " + follow);
             System.exit(MISUSED);
@@ -165,6 +173,10 @@
         startsLean();
         Router router = new Router();
         router.follow(follow == null ? null : Span.ofMillis(follow));
+        if (deaf) {
+            Event.SIGNAL_IGNORED.log(LoggerFactory.getLogger(Main.class), Level.WARN,
+                "it was started that way, and the runtime keeps to it: no reload will be heard", "HUP");
+        }
         Thread drain = new Thread(() -> {
             router.drain();
             try {
@@ -176,13 +188,14 @@
             Runtime.getRuntime().halt(0);
         }, "drain");
         Runtime.getRuntime().addShutdownHook(drain);
-        // Left to itself, the runtime ends on this signal. One that comes while starting is heard afterwards.
-        Semaphore asked = new Semaphore(0);
-        Signal.handle(new Signal("HUP"), signal -> asked.release());
         try {
             router.start(Path.of(file), with);
         } catch (StartFault | RuntimeException fault) {
-            Runtime.getRuntime().removeShutdownHook(drain);
+            try {
+                Runtime.getRuntime().removeShutdownHook(drain);
+            } catch (IllegalStateException ends) {
+                // Told to end in that very moment: what could not be set up is told all the same.
+            }
             refuse(fault);
         }
         Thread reload = new Thread(() -> {
--- a/router/src/main/java/basaltlever/log/Event.java
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -11,6 +11,7 @@
 public enum Event {
     PHASE("phase", "phase", "after"),
     SERVES("serves", "router", "address"),
+    SIGNAL_IGNORED("signal_ignored", "signal"),
     RELOADED("reloaded", "discovery"),
     RELOAD_REFUSED("reload_refused", "cause"),
     NEEDS_RESTART("needs_restart", "key"),
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -50,6 +50,7 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -153,7 +154,7 @@
         looked.sync();
         ChannelFuture bound = loop.submit(this::listen).sync().getNow();
         if (!bound.await().isSuccess()) {
-            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            endUnserved();
             if (keeper != null) {
                 keeper.ends(null);
             }
@@ -349,7 +350,7 @@
                     }
                 })));
         } catch (Exception fault) {
-            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            endUnserved();
             Throwable cause = fault;
             while (cause.getCause() != null) {
                 cause = cause.getCause();
@@ -512,20 +513,32 @@
         if (stopped.getCount() == 0) {
             return;
         }
-        loop.execute(() -> {
-            if (phase == Phase.SERVING || phase == Phase.LISTENING) {
-                enter(Phase.DRAINING);
-                Span left = SPARED.plus(longestTimeout.shorter(LONGEST_SPARED)).minus(ANSWERS_BEFORE);
-                clients.endBy(turn.clock().now().plus(left));
-                loop.schedule(() -> accepting.closeOnceQuiet(listener, () -> {
-                    clients.closeIdle();
-                    stopOnceAnswered();
-                }), STILL_LISTENS.micros(), TimeUnit.MICROSECONDS);
-                loop.schedule(this::stop, left.micros(), TimeUnit.MICROSECONDS);
-            } else if (phase != Phase.DRAINING) {
-                stop();
-            }
-        });
+        try {
+            loop.execute(this::beginDrain);
+        } catch (RejectedExecutionException ended) {
+            stopped.countDown();
+        }
+    }
+
+    private void beginDrain() {
+        if (phase == Phase.SERVING || phase == Phase.LISTENING) {
+            enter(Phase.DRAINING);
+            Span left = SPARED.plus(longestTimeout.shorter(LONGEST_SPARED)).minus(ANSWERS_BEFORE);
+            clients.endBy(turn.clock().now().plus(left));
+            loop.schedule(() -> accepting.closeOnceQuiet(listener, () -> {
+                clients.closeIdle();
+                stopOnceAnswered();
+            }), STILL_LISTENS.micros(), TimeUnit.MICROSECONDS);
+            loop.schedule(this::stop, left.micros(), TimeUnit.MICROSECONDS);
+        } else if (phase != Phase.DRAINING) {
+            stop();
+        }
+    }
+
+    /** It could not be set up: nothing is owed to anybody, and a signal to end that comes just then waits for nothing. */
+    private void endUnserved() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        stopped.countDown();
     }
 
     private void stopOnceAnswered() {
--- a/router/src/test/java/basaltlever/EndingsTest.java
+++ b/router/src/test/java/basaltlever/EndingsTest.java
@@ -6,7 +6,9 @@
 import basaltlever.StandIn.SocketWorld;
 import basaltlever.StandIn.SocketWorld.Client;
 import basaltlever.StandIn.SocketWorld.Mode;
+import basaltlever.config.StartFault;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -234,6 +236,32 @@
         }
     }
 
+    /** A signal to end finds a process that could not listen: nobody would ever tell it that all is answered. */
+    @Example
+    void aRouterThatCouldNotListenEndsOnASignalAtOnce() throws Exception {
+        try (SocketWorld world = new SocketWorld(false); ServerSocket taken = SocketWorld.listen(world.port)) {
+            try {
+                world.router.start(world.file, null);
+                check(false, "its address is taken");
+            } catch (StartFault fault) {
+                check(fault.getMessage().contains("can't be bound"), fault.getMessage());
+            }
+            Thread ends = new Thread(() -> {
+                world.router.drain();
+                try {
+                    world.router.awaitStop();
+                } catch (InterruptedException given) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            ends.setDaemon(true);
+            ends.start();
+            ends.join(2_000);
+            check(!ends.isAlive(), "nothing is owed to anybody");
+            check(!taken.isClosed(), "and the address was taken all the while");
+        }
+    }
+
     @Example
     void settingsOfRenamedWorkloadsAreLeftAndWhatIsOpenEndsByItsOwn() throws Exception {
         try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port);
--- a/router/src/test/java/basaltlever/ProcessTest.java
+++ b/router/src/test/java/basaltlever/ProcessTest.java
@@ -33,6 +33,13 @@
         return builder.start();
     }
 
+    /** Until a line of the file says so. */
+    private static void awaitLine(Path file, String what, Process process) throws Exception {
+        while (process.isAlive() && Files.readAllLines(file).stream().noneMatch(line -> line.contains(what))) {
+            Thread.sleep(1);
+        }
+    }
+
     private static Client connect(int port, Process process) throws Exception {
         for (int i = 0; i < 200 && process.isAlive(); i++) {
             try {
@@ -116,6 +123,50 @@
         }
     }
 
+    /** Left to itself the runtime ends on it: what a start sets up before it listens to it is a time to be killed in. */
+    @Example
+    void theSignalToReadAgainIsHeardBeforeAnythingIsSetUp() throws Exception {
+        Path log = Files.createTempFile("classes", ".log");
+        try (SocketWorld world = new SocketWorld(false)) {
+            Process process = start(List.of("-Xlog:class+load:file=" + log), world.file, "serve");
+            try {
+                awaitLine(log, "basaltlever.net.Router ", process);
+                signal(process, "HUP");
+                try (Client client = connect(world.port, process)) {
+                    client.start().answer();
+                    check(client.ask(statement("e1", "view", 1_800)).answer().equals("row:e1"), "it serves");
+                }
+            } finally {
+                process.destroyForcibly();
+            }
+        } finally {
+            Files.delete(log);
+        }
+    }
+
+    @Example
+    void aRouterThatCanHearNoReloadSaysSo() throws Exception {
+        Path log = Files.createTempFile("router", ".log");
+        try (SocketWorld world = new SocketWorld(false)) {
+            for (boolean deaf : new boolean[] {true, false}) {
+                ProcessBuilder builder = new ProcessBuilder("sh", "-c", (deaf ? "trap '' HUP; " : "")
+                    + "exec \"$0\" -cp \"$1\" basaltlever.cli.Main serve", System.getProperty("java.home")
+                    + "/bin/java", System.getProperty("java.class.path")).redirectError(log.toFile());
+                builder.environment().put("GW_CONFIG", world.file.toString());
+                Process process = builder.start();
+                try (Client client = connect(world.port, process)) {
+                    client.start().answer();
+                    boolean said = Files.readString(log).contains("event=signal_ignored signal=HUP");
+                    check(said == deaf, "deaf " + deaf + ", said " + said);
+                } finally {
+                    process.destroyForcibly().waitFor();
+                }
+            }
+        } finally {
+            Files.delete(log);
+        }
+    }
+
     private static void signal(Process process, String... names) throws Exception {
         for (String name : names) {
             new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
