--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -15,6 +15,7 @@
 import basaltlever.time.Span;
 import java.util.*;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 
 /**
  * Every decision of one router; it shares nothing with others. Each event comes with the clock of the batch,
@@ -85,7 +86,7 @@
     private final List<Statement> open = new ArrayList<>();
     private final ArrayDeque<Statement> unplaced = new ArrayDeque<>();
     private final ArrayDeque<Group> changed = new ArrayDeque<>();
-    private final double[] typical;
+    private double[] typical = {};
     double typicalOfAll;
     private double usualStrain = 0.25;
     private double opening;
@@ -122,17 +123,18 @@
         this.holds = holds;
         agree(now, agreed);
         watchDue = agreed.drains().askedFor() ? now : Moment.NEVER;
-        typical = Arrays.stream(agreed.workloads()).mapToDouble(kind -> kind.slo().micros() / 4.0).toArray();
         typicalOfAll = Arrays.stream(typical).average().orElse(0);
     }
 
     /**
-     * From now on these hold instead of those before; workloads stay as many, in their order. What was taken
-     * keeps the terms under which it was taken, and of more executions than may be out the first goes on.
+     * From now on these hold instead of those before; workloads keep their places, new ones come behind. What
+     * was taken keeps its terms, and of more executions than may be out the first goes on.
      */
     public void agree(Moment at, Agreed by) {
         now = at;
         agreed = by;
+        typical = IntStream.range(0, by.workloads().length).mapToDouble(kind -> kind < typical.length
+            ? typical[kind] : by.workloads()[kind].slo().micros() / 4.0).toArray();
         topImportance = Arrays.stream(agreed.workloads()).mapToDouble(Workload::importance).max().orElse(1);
         Span tightest = Arrays.stream(agreed.workloads()).filter(kind -> kind.needs() == Needs.BOUNDED)
             .map(Workload::bound).reduce(SECOND.times(4), Span::shorter);
@@ -203,7 +205,7 @@
     public void listFailed(Moment at) {
         now = at;
         if (agreed.drains().askedFor()) {
-            // Some calls may fail within the 6 s in which news must be heard: a pause counts from their start.
+            // Some calls may fail within the 6 s in which news must be heard: pauses count from their start.
             watchDue = now.earlier(askedAt).plus(watchBackoff.times(0.5 + chance.nextDouble())).later(now);
             watchBackoff = watchBackoff.times(2).shorter(SECOND)
                 .shorter(agreed.drains().mustAskIn().times(0.25));
@@ -593,7 +595,7 @@
         int best = 16;
         int seen = 0;
         Node burdened = burdened(statement);
-        if (burdened != null && isLong(statement.workload)) {
+        if (burdened != null && statement.terms.needs() == Needs.ANY && isLong(statement.workload)) {
             return burdened;
         }
         for (Node member : group.members) {
@@ -787,8 +789,7 @@
 
     private void giveUp(Statement statement, boolean mayReturnAtOnce) {
         boolean harmless = statement.terms.repeat() == Repeat.IDEMPOTENT
-            || !statement.mayHaveRun && statement.out == 0
-            || statement.terms.repeat() == Repeat.DEDUPLICATED
+            || !statement.mayHaveRun && statement.out == 0 || statement.terms.repeat() == Repeat.DEDUPLICATED
                 && statement.terms.within() == Workload.Within.ALL;
         finish(statement);
         if (harmless) {
@@ -1129,8 +1130,7 @@
             if (!node.pollOut && !now.isBefore(node.pollDue)) {
                 poll(node);
             }
-            pollDue = pollDue.earlier(node.pollOut ? node.pollSent.plus(SECOND).plus(SCAN)
-                : node.pollDue);
+            pollDue = pollDue.earlier(node.pollOut ? node.pollSent.plus(SECOND).plus(SCAN) : node.pollDue);
         }
     }
 
--- a/router/src/main/java/basaltlever/config/StartFile.java
+++ b/router/src/main/java/basaltlever/config/StartFile.java
@@ -149,7 +149,12 @@
      * others from being taken over, or a part of the program would go by the old and a part by the new.
      */
     public List<String> fixedFor(StartFile other) {
-        List<String> keys = new ArrayList<>(differing(other, FIXED.stream().map(key -> "settings." + key)));
+        return differing(other, FIXED.stream().map(key -> "settings." + key));
+    }
+
+    /** The same where routers agree: versions are weighed against each other workload by workload, in their order. */
+    public List<String> fixedInFleet(StartFile other) {
+        List<String> keys = new ArrayList<>(fixedFor(other));
         if (!values.workloadNames().equals(other.values.workloadNames())) {
             keys.add("settings.Classes[].Name");
         }
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -80,6 +80,9 @@
         List<String> bounds = keys.list("FamilyInfo.LagAllowed");
         for (int i = 0; i < workloads.length; i++) {
             workloads[i] = workload(i, needs, bounds);
+            if (asks && workloadNames.indexOf(workloadNames.get(i)) < i) {
+                keys.fault("Classes." + i + ".Name is " + workloadNames.get(i) + ", as that of another workload");
+            }
         }
     }
 
--- a/router/src/main/java/basaltlever/model/Held.java
+++ b/router/src/main/java/basaltlever/model/Held.java
@@ -1,6 +1,7 @@
 package basaltlever.model;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -21,7 +22,7 @@
     private final TreeSet<Statement> order = new TreeSet<>(ORDER);
     /** Of each session those that are held, the earliest first; a session commonly has one. */
     private final Map<Long, ArrayDeque<Statement>> sessions = new HashMap<>();
-    private final int[] ofWorkload;
+    private int[] ofWorkload;
     private long bytes;
 
     public Held(int workloads) {
@@ -41,7 +42,7 @@
     }
 
     public int size(int workload) {
-        return ofWorkload[workload];
+        return workload < ofWorkload.length ? ofWorkload[workload] : 0;
     }
 
     /** Null where there is none. */
@@ -88,6 +89,10 @@
             own.addAll(later);
         }
         order.add(statement);
+        if (statement.workload >= ofWorkload.length) {
+            // Settings may bring workloads while this group holds others.
+            ofWorkload = Arrays.copyOf(ofWorkload, statement.workload + 1);
+        }
         ofWorkload[statement.workload]++;
         bytes += statement.bytes;
     }
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.config.Places;
 import basaltlever.core.Core;
 import basaltlever.log.Lives;
 import basaltlever.log.Tally;
@@ -12,7 +13,6 @@
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.List;
 
 /** The clients' connections, and the way of their statements to the decisions. */
 final class Clients {
@@ -20,7 +20,7 @@
     private static final Span KEPT = Span.ofMillis(2_000);
     private final Turn turn;
     private final Descriptors descriptors;
-    private final List<String> workloadNames;
+    private Places places;
     private final int mostOpen;
     private final Budget budget;
     private final Tally bad;
@@ -34,11 +34,11 @@
     /** When this router ends, if it is known: no statement's time is longer than its own. */
     private Moment ends = Moment.NEVER;
 
-    Clients(Turn turn, Descriptors descriptors, List<String> workloadNames, int mostOpen, Budget budget,
+    Clients(Turn turn, Descriptors descriptors, Places places, int mostOpen, Budget budget,
             Tally bad, Lives lives) {
         this.turn = turn;
         this.descriptors = descriptors;
-        this.workloadNames = workloadNames;
+        this.places = places;
         this.mostOpen = mostOpen;
         this.budget = budget;
         this.bad = bad;
@@ -68,8 +68,13 @@
         return connection;
     }
 
+    /** For what is read from here on. */
+    void goBy(Places now) {
+        places = now;
+    }
+
     int workload(Query query) throws PgFault {
-        int workload = workloadNames.indexOf(query.workload);
+        int workload = places.of(query.workload);
         if (workload < 0) {
             throw new PgFault(Pg.VIOLATION, "the workload " + query.workload + " is unknown");
         }
--- a/router/src/main/java/basaltlever/net/Keeping.java
+++ b/router/src/main/java/basaltlever/net/Keeping.java
@@ -130,7 +130,7 @@
     private String fault(Version version) {
         try {
             StartFile next = file(version);
-            List<String> fixed = next.fixedFor(own);
+            List<String> fixed = next.fixedInFleet(own);
             if (!fixed.isEmpty()) {
                 return String.join(", ", fixed) + ": takes a restart";
             }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -5,6 +5,7 @@
 import basaltlever.agree.Roll;
 import basaltlever.config.Addresses;
 import basaltlever.config.OperatorFile;
+import basaltlever.config.Places;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
 import basaltlever.config.StartValues;
@@ -109,6 +110,7 @@
     private volatile Channel listener;
     private Accepting accepting;
     private Clients clients;
+    private Places places;
     private Tally badClients;
     private Carrier carrier;
     private HoldBudget holds;
@@ -216,8 +218,18 @@
                 String.join(",", fixed));
             return;
         }
+        Places room = places.with(next.values().workloadNames());
+        if (room.size() > Places.MOST) {
+            Event.SETTINGS_LEFT.log(LOG, Level.ERROR, "more names of workloads than one run has room for: this needs a "
+                + "restart; all settings stay as they were", "settings.Classes[].Name");
+            return;
+        }
         adopt(next);
-        turn.hear(now -> core.agree(now, next.values().agreement(now)));
+        // In one step: what was read before this is heard before it, what is read from here on goes by both.
+        places = room;
+        clients.goBy(room);
+        turn.hear(now -> core.agree(now, balance -> balance.agree(now, room.arrange(next.values().agreed(),
+            next.values().workloadNames()))));
         Event.SETTINGS_TAKEN.log(LOG, Level.INFO, "", carrier.open());
     }
 
@@ -391,7 +403,8 @@
         carrier = new Carrier(turn, loop, linkTo, this::forget, values.gauges(0),
             values.connectTimeout(), budget, lives);
         badClients = new Tally(LoggerFactory.getLogger(Clients.class), Event.CLIENT_BAD, clock::now);
-        clients = new Clients(turn, descriptors, values.workloadNames(), values.mostOpen(), budget,
+        places = Places.of(values.workloadNames());
+        clients = new Clients(turn, descriptors, places, values.mostOpen(), budget,
             badClients, lives);
         longestTimeout = values.longestTimeout();
         holds = values.holds();
--- a/router/src/test/java/basaltlever/RulesTest.java
+++ b/router/src/test/java/basaltlever/RulesTest.java
@@ -2,6 +2,7 @@
 
 import static basaltlever.StandIn.*;
 
+import basaltlever.config.Places;
 import basaltlever.gateway.*;
 import basaltlever.time.Moment;
 import basaltlever.view.Aging;
@@ -31,6 +32,39 @@
         world.run(4_000);
     }
 
+    /** Settings that rename, add and remove workloads while statements of them are open, held and out. */
+    @Property(tries = 80, seed = "3412", shrinking = ShrinkingMode.OFF)
+    void whatWasTakenEndsByItsOwnTermsThroughSettingsWithOtherWorkloads(@ForAll boolean check,
+        @ForAll boolean positions, @ForAll boolean asked, @ForAll boolean copies, @ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        StandIn world = new StandIn(check, positions, true, asked, copies, 2, seed);
+        world.playWith(chance.split(), 3);
+        Workload[] kinds = Arrays.copyOf(world.workloads, 6);
+        List<Integer> named = new ArrayList<>(List.of(0, 1, 2, 3, 4, 5));
+        for (int step = 0; step < 800; step++) {
+            world.run(chance.nextInt(1, 20));
+            for (int n = chance.nextInt(3); n > 0; n--) {
+                world.take(named.get(chance.nextInt(named.size())), chance.nextInt(5), chance.nextInt(3) == 0
+                    ? Moment.LONG_AGO : world.now.minus(ms(chance.nextInt(400))), 100 + chance.nextInt(1_500));
+            }
+            if (chance.nextInt(25) == 0) {
+                upset(world, chance);
+            }
+            if (chance.nextInt(20) == 0) {
+                Workload[] next = Arrays.copyOf(world.workloads, Math.min(14, world.workloads.length
+                    + chance.nextInt(2)));
+                named.clear();
+                for (int place = 0; place < next.length; place++) {
+                    boolean gone = place > 0 && chance.nextInt(4) == 0;
+                    next[place] = gone ? Places.GONE : kinds[chance.nextInt(kinds.length)];
+                    named.addAll(gone ? List.of() : List.of(place));
+                }
+                world.agree(next);
+            }
+        }
+        world.run(4_000);
+    }
+
     static void upset(StandIn world, SplittableRandom chance) {
         int id = chance.nextInt(world.members.size());
         StandIn.Member member = world.members.get(id);
