A loop waits for its timers in whole milliseconds instead of looking at its sockets over and over

At fault: Router.start's NioIoHandler.newFactory(): what is left until the next timer is rounded to the nearest millisecond, and below half of one the loop does not wait at all. Change: net.Waiting rounds up what is left. Tests: SocketWorld counts descriptors once they stand still, which may be why whoSaysNothingOrHalf once timed out (not shown).

--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -36,7 +36,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Promise;
@@ -144,7 +143,7 @@
                 + " would not be over"));
         }
         enter(Phase.LOOKING);
-        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        group = new MultiThreadIoEventLoopGroup(1, Waiting.newFactory());
         loop = (SingleThreadEventLoop) group.next();
         loop.submit(this::build).sync();
         // Read meanwhile, on the keeper's thread: what it loads first would else be added to the start.
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -920,10 +920,23 @@
         }
 
         void writeStart(java.util.function.UnaryOperator<String> changed) throws IOException {
-            String[] open = new java.io.File("/proc/self/fd").list();
             Files.writeString(file, changed.apply(startFile(port, discovery.getLocalPort(), entries())
-                .replace("\"sockets\":200",
-                "\"sockets\":" + ((open == null ? 60 : open.length) + 140))));
+                .replace("\"sockets\":200", "\"sockets\":" + (steadyDescriptors() + 140))));
+        }
+
+        /** Counted while earlier stand-ins still close theirs, a router would be left far more than was meant. */
+        private static int steadyDescriptors() {
+            int before = -1;
+            for (int i = 0; i < 50; i++) {
+                String[] open = new java.io.File("/proc/self/fd").list();
+                int count = open == null ? 60 : open.length;
+                if (count == before) {
+                    break;
+                }
+                before = count;
+                java.util.concurrent.locks.LockSupport.parkNanos(10_000_000);
+            }
+            return before;
         }
 
         void breakWatch() throws IOException {
--- a/router/src/test/java/basaltlever/net/ComesUpTest.java
+++ b/router/src/test/java/basaltlever/net/ComesUpTest.java
@@ -18,7 +18,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -62,7 +61,7 @@
 
     @Example
     void nothingIsSentForAClientWhoseEndIsReadInTheSameLook() throws Exception {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Waiting.newFactory());
         SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         InetAddress here = InetAddress.getLoopbackAddress();
         try (ServerSocket node = new ServerSocket(0, 5, here); ServerSocket front = new ServerSocket(0, 5, here)) {
--- a/router/src/test/java/basaltlever/net/FloodTest.java
+++ b/router/src/test/java/basaltlever/net/FloodTest.java
@@ -19,7 +19,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.DataInputStream;
 import java.net.InetAddress;
@@ -40,7 +39,7 @@
 
     @Example
     void eachReadOfAFloodAddsNoShareOfItsOwn() throws Exception {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Waiting.newFactory());
         SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         AtomicInteger answered = new AtomicInteger();
         AtomicInteger most = new AtomicInteger();
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -26,7 +26,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
@@ -57,7 +56,7 @@
     private static final long SLACK_MILLIS = 90;
 
     private static final class Forgetful implements AutoCloseable {
-        final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Waiting.newFactory());
         final SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Clients clients;
         Carrier carrier;
