--- a/router/src/test/java/basaltlever/EndingsTest.java
+++ b/router/src/test/java/basaltlever/EndingsTest.java
@@ -12,9 +12,11 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -22,6 +24,9 @@
 
 /** What is owed in the instant in which something ends (docs/endings.md), each in its bad order. */
 class EndingsTest {
+    /** How long a connection may take, with some slack for the threads of this test. */
+    private static final long CONNECTS_MILLIS = 250 + 80;
+
     private static boolean rejected(String answer) {
         return answer.startsWith("error:53300");
     }
@@ -450,6 +455,75 @@
         check(faults.isEmpty(), faults.toString());
     }
 
+    /** Rule 3 in its moments: what waits for a connection, for room or for another try while its member begins to drain. */
+    @Property(tries = 3, seed = "343", shrinking = ShrinkingMode.OFF)
+    void nothingGoesToAMemberThatDrains(@ForAll long seed) throws Exception {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<String> faults = Collections.synchronizedList(new ArrayList<>());
+        AtomicBoolean over = new AtomicBoolean();
+        int drainedGot = 0;
+        int inUse = 0;
+        try (SocketWorld world = new SocketWorld()) {
+            List<Thread> clients = new ArrayList<>();
+            for (int c = 0; c < 8; c++) {
+                SplittableRandom own = chance.split();
+                String name = Integer.toHexString(0xa0 + c);
+                clients.add(new Thread(() -> {
+                    try (Client client = new Client(world.port)) {
+                        client.start().answer();
+                        for (int i = 0; !over.get(); i++) {
+                            String id = name + String.format("%04x", i);
+                            String answer = client.ask(statement(id, own.nextInt(4) == 0 ? "post" : "view",
+                                200 + own.nextInt(700))).answer();
+                            if (!answer.startsWith("row:" + id) && !answer.startsWith("error:")) {
+                                faults.add(id + " got " + answer);
+                            }
+                            Thread.sleep(own.nextInt(8));
+                        }
+                    } catch (Throwable fault) {
+                        faults.add("" + fault);
+                    }
+                }));
+            }
+            clients.forEach(Thread::start);
+            for (int round = 0; round < 6; round++) {
+                // The primary, or whichever replica is in use just now: where one bears all, the other may get nothing.
+                SocketWorld.Node node = chance.nextInt(3) == 0 ? world.nodes.get(0)
+                    : Collections.max(world.nodes.subList(1, 3), Comparator.comparingLong(of ->
+                        of.gotAt.stream().mapToLong(at -> at).max().orElse(0)));
+                long since = System.nanoTime() - 150_000_000L;
+                inUse += node.gotAt.stream().anyMatch(at -> at > since) ? 1 : 0;
+                CountDownLatch comesUp = new CountDownLatch(1);
+                node.welcomes = comesUp;
+                for (Socket socket : new ArrayList<>(node.open)) {
+                    socket.close();
+                }
+                node.mode = List.of(Mode.ROW, Mode.FULL, Mode.ERROR).get(chance.nextInt(3));
+                Thread.sleep(chance.nextInt(80));
+                node.listed = "terminating";
+                world.tell();
+                long told = System.nanoTime();
+                Thread.sleep(chance.nextInt(240));
+                node.welcomes = null;
+                comesUp.countDown();
+                Thread.sleep(500);
+                drainedGot += (int) node.gotAt.stream().filter(at -> at > told).count();
+                node.gotAt.stream().filter(at -> at - told > CONNECTS_MILLIS * 1_000_000L).forEach(at ->
+                    faults.add(node.id + " got one " + (at - told) / 1_000_000 + " ms after it was told to drain"));
+                node.mode = Mode.ROW;
+                node.listed = "in_service";
+                world.tell();
+                Thread.sleep(150);
+            }
+            over.set(true);
+            for (Thread client : clients) {
+                client.join();
+            }
+            check(inUse >= 3, "in use when it began to drain: " + inUse + " of 6");
+        }
+        check(faults.isEmpty(), faults + ", " + drainedGot + " in their grace");
+    }
+
     private static void leaves(SocketWorld world, SplittableRandom chance, String id, List<String> faults)
         throws Exception {
         long left;
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -592,6 +592,8 @@
             final java.util.concurrent.atomic.AtomicInteger connects =
                 new java.util.concurrent.atomic.AtomicInteger();
             final List<Socket> open = Collections.synchronizedList(new ArrayList<>());
+            /** When it got each of its statements. */
+            final Queue<Long> gotAt = new java.util.concurrent.ConcurrentLinkedQueue<>();
 
             Node(String id, boolean primary) {
                 this.id = id;
@@ -642,6 +644,7 @@
                 Mode as = mode;
                 String id = query.replaceAll("(?s).*id=(\\w+),.*", "$1");
                 seen.add(query);
+                gotAt.add(System.nanoTime());
                 seenAt.put(id, System.nanoTime());
                 ran.computeIfAbsent(id, i -> Collections.synchronizedList(new ArrayList<>())).add(as);
                 String code = switch (as) {
