Fleet: a process that starts without a word keeps to nothing looser than it was told last

Need: a router that starts while nobody leads was careful by its start file, which says how many routers share a cold node's budget, how long one warms and how long a list may be kept: what somebody wrote once, and what no care makes up for. Change: the version in force, with its count of routers, is kept in the folder's papers (behind their sum; left out where it would fill them); before the first grant a router is careful by the stricter of that and its file (Keeping.begin). It is never in force, and what can't be read or is exclusive is left out by name.

--- a/router/src/main/java/basaltlever/fleet/Link.java
+++ b/router/src/main/java/basaltlever/fleet/Link.java
@@ -159,13 +159,17 @@
                     unanswered = 0;
                     List<String> members = Message.texts(message, "members");
                     members.forEach(Link.this::mayAsk);
+                    force = filled(Message.version(message.get("force")), force, prepared);
+                    prepared = filled(Message.version(message.get("prepared")), prepared, force);
                     try {
                         papers.areTold(members);
+                        if (force != null && Message.number(message, "lasts") > 0) {
+                            // Who gives no lease may have been replaced: what it tells is no word of the fleet.
+                            papers.isTold(force);
+                        }
                     } catch (IOException fault) {
                         Event.FLEET_STANDS.log(LOG, Level.ERROR, "", "can't write", fault.getMessage());
                     }
-                    force = filled(Message.version(message.get("force")), force, prepared);
-                    prepared = filled(Message.version(message.get("prepared")), prepared, force);
                     if (force != null) {
                         granted.accept(new Grant(Message.number(message, "beat"),
                             new Span(Message.number(message, "lasts")), force, prepared,
--- a/router/src/main/java/basaltlever/fleet/Papers.java
+++ b/router/src/main/java/basaltlever/fleet/Papers.java
@@ -1,6 +1,7 @@
 package basaltlever.fleet;
 
 import basaltlever.agree.Standing.Seal;
+import basaltlever.agree.Version;
 import basaltlever.keep.Folder;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -14,24 +15,27 @@
 
 /**
  * What an instance's folder says of it: whose it is, under which charter it votes and with whom, and the latest
- * charter and the latest voters that it was told of. Written whole, synced and renamed, behind its sum; a folder
+ * charter, voters and version that it was told of. Written whole, synced and renamed, behind its sum; a folder
  * of another router or fleet is refused, as is one that can't be read: who goes on with a guess could vote twice.
  */
 public final class Papers {
     private static final String FILE = "papers";
     private static final String NEW = "papers.new";
-    private static final int LARGEST = 1 << 16;
+    private static final int LARGEST = Message.LARGEST;
 
     private final Folder folder;
     private Seal seal;
     private long knows;
     private List<String> voters;
+    /** Null where none was told. */
+    private Version told;
 
-    private Papers(Folder folder, Seal seal, long knows, List<String> voters) {
+    private Papers(Folder folder, Seal seal, long knows, List<String> voters, Version told) {
         this.folder = folder;
         this.seal = seal;
         this.knows = knows;
         this.voters = voters;
+        this.told = told;
     }
 
     /** Of the router by that name; throws with the reason where the folder is not its own. */
@@ -40,7 +44,7 @@
         Folder folder = new Folder(path);
         if (!folder.names().contains(FILE)) {
             return new Papers(folder, new Seal(fleet, name, UUID.randomUUID().toString(), 0, List.of()), 0,
-                List.of());
+                List.of(), null);
         }
         byte[] bytes = folder.read(FILE, LARGEST);
         if (bytes.length < Long.BYTES || ByteBuffer.wrap(bytes).getLong() != sum(bytes, Long.BYTES)) {
@@ -54,7 +58,8 @@
             throw new IOException(path + " is the folder of " + seal.name() + " of fleet " + seal.fleet() + ", not of "
                 + name + " of " + fleet);
         }
-        return new Papers(folder, seal, Message.number(all, "knows"), Message.texts(all, "voters"));
+        return new Papers(folder, seal, Message.number(all, "knows"), Message.texts(all, "voters"),
+            Message.version(all.get("told")));
     }
 
     private static long sum(byte[] bytes, int from) {
@@ -99,6 +104,21 @@
         }
     }
 
+    /**
+     * The version that a leader told last to be in force, with how many routers share the whole: a process that
+     * starts while nobody leads keeps to nothing looser. Null where none was told.
+     */
+    public synchronized Version told() {
+        return told;
+    }
+
+    synchronized void isTold(Version inForce) throws IOException {
+        if (!inForce.equals(told)) {
+            told = inForce;
+            write();
+        }
+    }
+
     private void write() throws IOException {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("fleet", seal.fleet());
@@ -108,7 +128,13 @@
         all.put("members", seal.members());
         all.put("knows", knows);
         all.put("voters", voters);
+        all.put("told", Message.of(told));
         byte[] content = Message.write(all);
+        if (content.length > LARGEST - Long.BYTES) {
+            // Settings that fill a whole message: without them is better than a folder that can't be read.
+            all.remove("told");
+            content = Message.write(all);
+        }
         ByteBuffer bytes = ByteBuffer.allocate(Long.BYTES + content.length).putLong(sum(content, 0)).put(content);
         folder.write(NEW, bytes.array());
         folder.sync(NEW);
--- a/router/src/main/java/basaltlever/net/Keeping.java
+++ b/router/src/main/java/basaltlever/net/Keeping.java
@@ -69,6 +69,33 @@
         return refusal;
     }
 
+    /**
+     * Before the first grant nothing is known to hold. The stricter of the start file and of what an earlier
+     * process of this router was told last bounds what no care can: how many share a cold node's budget, how long
+     * it takes to warm, how long a list may be kept.
+     */
+    void begin(Version told) {
+        Agreed holds = own.values().agreed();
+        if (told != null) {
+            try {
+                Agreed last = file(told).values().agreed();
+                List<String> exclusive = Meet.exclusive(holds, last);
+                if (exclusive.isEmpty()) {
+                    holds = Meet.of(holds, last);
+                } else {
+                    Event.FLEET_TURNED_DOWN.log(LOG, Level.WARN, "left out: the start file is kept to, with care",
+                        told.number(), String.join("; ", exclusive));
+                }
+            } catch (StartFault impossible) {
+                Event.FLEET_TURNED_DOWN.log(LOG, Level.WARN, "left out: the start file is kept to, with care",
+                    told.number(), impossible.getMessage().replace('\n', ';'));
+            }
+        }
+        Event.FLEET_KEEPS.log(LOG, Level.INFO, "until its fleet is heard", told == null ? "none" : told.number(), "none",
+            true);
+        keepTo.accept(own, Meet.careful(holds));
+    }
+
     /** Counts up with every other thing that is kept to; none where what is kept to is over by now. */
     int stance(Moment now) {
         return follower.isOver(now) || roll.isAdrift(now) != adrift ? NONE : stance;
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -346,13 +346,15 @@
             });
             turn.first(keeping::look);
             carrier.keepsTo(keeping::stance);
-            // Before the first grant it knows nothing of what holds.
             core.agree(turn.clock().now(), balance -> balance.agree(turn.clock().now(),
                 Meet.careful(start.values().agreed())));
         }).sync();
         try {
             Papers papers = Papers.read(terms.folder(), terms.name(), start.name());
-            loop.submit(() -> keeping.follower().knows(papers.knows())).sync();
+            loop.submit(() -> {
+                keeping.follower().knows(papers.knows());
+                keeping.begin(papers.told());
+            }).sync();
             fleet = new Fleet(terms, start.name(), papers, new SplittableRandom(start.seed()).split(),
                 () -> loop.execute(this::beat), (grant, sight) -> loop.execute(() -> turn.hear(now -> {
                     keeping.granted(now, grant, sight);
--- a/router/src/test/java/basaltlever/net/KeepingTest.java
+++ b/router/src/test/java/basaltlever/net/KeepingTest.java
@@ -10,10 +10,12 @@
 import basaltlever.agree.Version;
 import basaltlever.config.StartFile;
 import basaltlever.discovery.MemberList;
+import basaltlever.gateway.Agreed;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
 
@@ -44,4 +46,36 @@
         check(roll.isAdrift(now), "5.7 s after the last grant that lasted, whatever was answered since");
         check(keeping.stance(now) >= 0, "and it knows: what is decided now may go out, to nobody");
     }
+
+    private static Agreed begins(Version told) throws Exception {
+        Path example = Files.exists(Path.of("deploy")) ? Path.of("deploy/example.json")
+            : Path.of("../deploy/example.json");
+        Roll roll = new Roll(Span.ofMillis(1_000), ASSIGNED);
+        MemberList list = new MemberList(null, List.of(), null);
+        list.agreeBy(roll, () -> new Moment(0));
+        List<Agreed> kept = new ArrayList<>();
+        StartFile own = StartFile.read(example);
+        Keeping keeping = new Keeping(own, Span.NONE, roll, list, () -> { }, (file, holds) -> {
+            check(file == own, "the file in force is its own until a grant comes");
+            kept.add(holds);
+        });
+        keeping.begin(told);
+        check(keeping.follower().isCareful() && keeping.follower().inForce() == null, "told is not in force");
+        return kept.get(0);
+    }
+
+    /** Its start file says how many routers there were when somebody wrote it; the fleet knows by now. */
+    @Example
+    void aProcessThatStartsWithoutAWordKeepsToNothingLooserThanWhatItsLastOneWasTold() throws Exception {
+        Agreed own = begins(null);
+        Agreed more = begins(new Version(7, "", own.standing().routers() + 40, "ops", "grown", 1));
+        check(more.standing().routers() == own.standing().routers() + 40, "a smaller share of each cold node");
+        Agreed fewer = begins(new Version(8, "", 1, "ops", "shrunk", 1));
+        check(fewer.standing().routers() == own.standing().routers(), "never a larger one than its file says");
+        for (Agreed holds : List.of(own, more, fewer)) {
+            check(holds.allowance().executions() == 1 && !holds.allowance().secondCopies(), "with care in any case");
+        }
+        Agreed unread = begins(new Version(9, "{\"Balancers\":\"many\"}", 90, "ops", "of a later release", 1));
+        check(unread.standing().routers() == own.standing().routers(), "what can't be read is left out");
+    }
 }
