--- a/router/src/main/java/basaltlever/config/StartFile.java
+++ b/router/src/main/java/basaltlever/config/StartFile.java
@@ -152,7 +152,7 @@
         return differing(other, FIXED.stream().map(key -> "settings." + key));
     }
 
-    /** The same where routers agree: versions are weighed against each other workload by workload, in their order. */
+    /** The same where routers agree: versions are weighed against each other workload by workload. */
     public List<String> fixedInFleet(StartFile other) {
         List<String> keys = new ArrayList<>(fixedFor(other));
         if (!values.workloadNames().equals(other.values.workloadNames())) {
--- a/router/src/main/java/basaltlever/net/Keeping.java
+++ b/router/src/main/java/basaltlever/net/Keeping.java
@@ -91,8 +91,8 @@
                     told.number(), impossible.getMessage().replace('\n', ';'));
             }
         }
-        Event.FLEET_KEEPS.log(LOG, Level.INFO, "until its fleet is heard", told == null ? "none" : told.number(), "none",
-            true);
+        Event.FLEET_KEEPS.log(LOG, Level.INFO, "until its fleet is heard", told == null ? "none" : told.number(),
+            "none", true);
         keepTo.accept(own, Meet.careful(holds));
     }
 
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -219,8 +219,8 @@
         }
         Places room = places.with(next.values().workloadNames());
         if (room.size() > Places.MOST) {
-            Event.SETTINGS_LEFT.log(LOG, Level.ERROR, "more names of workloads than one run has room for: this needs a "
-                + "restart; all settings stay as they were", "settings.Classes[].Name");
+            Event.SETTINGS_LEFT.log(LOG, Level.ERROR, "more names than one run has room for: this needs a restart; all "
+                + "settings stay as they were", "settings.Classes[].Name");
             return;
         }
         adopt(next);
@@ -549,7 +549,7 @@
         }
     }
 
-    /** It could not be set up: nothing is owed to anybody, and a signal to end that comes just then waits for nothing. */
+    /** It could not be set up: nothing is owed, and a signal to end that comes just then waits for nothing. */
     private void endUnserved() {
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         stopped.countDown();
--- a/router/src/test/java/basaltlever/EndingsTest.java
+++ b/router/src/test/java/basaltlever/EndingsTest.java
@@ -455,7 +455,7 @@
         check(faults.isEmpty(), faults.toString());
     }
 
-    /** Rule 3 in its moments: what waits for a connection, for room or for another try while its member begins to drain. */
+    /** Rule 3: what waits for a connection, for room or for another try while its member begins to drain. */
     @Property(tries = 3, seed = "343", shrinking = ShrinkingMode.OFF)
     void nothingGoesToAMemberThatDrains(@ForAll long seed) throws Exception {
         SplittableRandom chance = new SplittableRandom(seed);
--- a/router/src/test/java/basaltlever/ProcessTest.java
+++ b/router/src/test/java/basaltlever/ProcessTest.java
@@ -123,7 +123,7 @@
         }
     }
 
-    /** Left to itself the runtime ends on it: what a start sets up before it listens to it is a time to be killed in. */
+    /** Left to itself the runtime ends on it, at any time before a start has got so far as to listen to it. */
     @Example
     void theSignalToReadAgainIsHeardBeforeAnythingIsSetUp() throws Exception {
         Path log = Files.createTempFile("classes", ".log");
