Fleet: a kept version of other workloads is left out; a listener's test waits for its close

Found on reading the change over. Keeping.begin met a kept version with the start file by place and asked only for exclusive keys: where a workload had been renamed since, one got the SLO time of another. It asks what every version is asked now (fault). KeepingTest.whatItWasToldIs... is red without; exclusive and stricter keys had no test. Router.joinFleet agreed twice on the same: once now. AgreementRunTest green. OwedTest.aListenerIsClosedOverNoConnection... failed once on this machine (six further runs green): the runtime closes a listener's socket in the loop's next look, and the test connected before it. Held up 300 ms there it failed three of three, and passes three of three with a timer awaited first; that nobody listens is asked as before. What such a connection meets in the program stands in gap.

--- a/router/src/main/java/basaltlever/net/Keeping.java
+++ b/router/src/main/java/basaltlever/net/Keeping.java
@@ -77,18 +77,13 @@
     void begin(Version told) {
         Agreed holds = own.values().agreed();
         if (told != null) {
-            try {
-                Agreed last = file(told).values().agreed();
-                List<String> exclusive = Meet.exclusive(holds, last);
-                if (exclusive.isEmpty()) {
-                    holds = Meet.of(holds, last);
-                } else {
-                    Event.FLEET_TURNED_DOWN.log(LOG, Level.WARN, "left out: the start file is kept to, with care",
-                        told.number(), String.join("; ", exclusive));
-                }
-            } catch (StartFault impossible) {
+            // As any version: by place, other names would give one workload the times of another.
+            String fault = fault(told);
+            if (fault.isEmpty()) {
+                holds = Meet.of(holds, agreed(told));
+            } else {
                 Event.FLEET_TURNED_DOWN.log(LOG, Level.WARN, "left out: the start file is kept to, with care",
-                    told.number(), impossible.getMessage().replace('\n', ';'));
+                    told.number(), fault);
             }
         }
         Event.FLEET_KEEPS.log(LOG, Level.INFO, "until its fleet is heard", told == null ? "none" : told.number(),
@@ -168,6 +163,15 @@
         }
     }
 
+    /** Of one that is free of faults. */
+    private Agreed agreed(Version version) {
+        try {
+            return file(version).values().agreed();
+        } catch (StartFault impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
     private StartFile file(Version version) throws StartFault {
         return own.with(version.text(), version.routers());
     }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -1,7 +1,6 @@
 package basaltlever.net;
 
 import basaltlever.agree.Follower;
-import basaltlever.agree.Meet;
 import basaltlever.agree.Roll;
 import basaltlever.config.Addresses;
 import basaltlever.config.OperatorFile;
@@ -346,8 +345,6 @@
             });
             turn.first(keeping::look);
             carrier.keepsTo(keeping::stance);
-            core.agree(turn.clock().now(), balance -> balance.agree(turn.clock().now(),
-                Meet.careful(start.values().agreed())));
         }).sync();
         try {
             Papers papers = Papers.read(terms.folder(), terms.name(), start.name());
--- a/router/src/test/java/basaltlever/net/KeepingTest.java
+++ b/router/src/test/java/basaltlever/net/KeepingTest.java
@@ -78,4 +78,28 @@
         Agreed unread = begins(new Version(9, "{\"Balancers\":\"many\"}", 90, "ops", "of a later release", 1));
         check(unread.standing().routers() == own.standing().routers(), "what can't be read is left out");
     }
+
+    /** The example's settings, but for one thing. */
+    private static Version changed(String from, String to) throws Exception {
+        Path example = Files.exists(Path.of("deploy")) ? Path.of("deploy/example.json")
+            : Path.of("../deploy/example.json");
+        String text = Files.readString(example);
+        String settings = text.substring(text.indexOf('{', text.indexOf("\"settings\"")), text.lastIndexOf('}'));
+        check(settings.contains(from), from + " is in the example");
+        return new Version(7, settings.replace(from, to), 2, "ops", to, 1);
+    }
+
+    @Example
+    void whatItWasToldIsStricterKeyByKeyAndLeftOutWhereItIsOfOtherWorkloads() throws Exception {
+        Agreed own = begins(null);
+        Agreed colder = begins(changed("\"Cold\": 9000000", "\"Cold\": 19000000"));
+        check(colder.warmUp().warmAfter().equals(Span.ofMillis(19_000)), "nodes warm for longer");
+        Agreed warmer = begins(changed("\"Cold\": 9000000", "\"Cold\": 1000000"));
+        check(warmer.warmUp().warmAfter().equals(own.warmUp().warmAfter()), "and never for less than its file says");
+        Agreed renamed = begins(changed("\"list\", \"Repeat\": \"idempotent\", \"Slo\": 400000",
+            "\"catalogue\", \"Repeat\": \"idempotent\", \"Slo\": 100000"));
+        check(renamed.workloads()[0].slo().equals(own.workloads()[0].slo()), "not the time of another workload");
+        Agreed flipped = begins(changed("[\"bounded\", \"write\"]", "[\"write\", \"bounded\"]"));
+        check(flipped.workloads()[0].needs() == own.workloads()[0].needs(), "no write for a read");
+    }
 }
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -247,6 +247,8 @@
             for (Client client : waiting) {
                 check(client.answer().isEmpty(), "each is welcomed");
             }
+            // The runtime closes the socket itself in the loop's next look; a timer runs behind one.
+            router.loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).sync();
             try (Client late = new Client(router.port)) {
                 check(false, "nobody listens any more");
             } catch (IOException refused) {
