--- a/lab/src/main/java/basaltlever/lab/Run.java
+++ b/lab/src/main/java/basaltlever/lab/Run.java
@@ -2,6 +2,8 @@
 
 import basaltlever.config.StartFault;
 import basaltlever.lab.fleet.AgreementRun;
+import basaltlever.lab.manyservers.DayOptions;
+import basaltlever.lab.manyservers.ManyServers;
 import basaltlever.lab.report.Report;
 import basaltlever.lab.scenario.Scenario;
 import basaltlever.lab.sockets.SocketRun;
@@ -46,6 +48,9 @@
         if (name.equals("relay")) {
             return relay.run(jar, json);
         }
+        if (name.equals("many-servers")) {
+            return manyServers();
+        }
         Scenario scenario;
         try {
             List<String> all = new ArrayList<>(settings);
@@ -71,6 +76,25 @@
         return held ? 0 : 1;
     }
 
+    private int manyServers() throws Exception {
+        try {
+            List<String> all = new ArrayList<>(settings);
+            if (seconds != null) {
+                all.add("seconds=" + seconds);
+            }
+            DayOptions day = DayOptions.parse(all);
+            Map<String, Object> figures = new LinkedHashMap<>();
+            figures.put("scenario", name);
+            figures.put("seed", seed);
+            figures.putAll(ManyServers.compare(day, seed, jar));
+            Figures.tell(figures, json);
+            return ((List<?>) figures.get("broken")).isEmpty() ? 0 : 1;
+        } catch (DayOptions.InvalidOption fault) {
+            System.err.println("basaltlever-lab: " + fault.getMessage());
+            return 2;
+        }
+    }
+
     private Map<String, Object> play(Scenario scenario, long own) throws Exception {
         Map<String, Object> figures = new LinkedHashMap<>();
         figures.put("scenario", name);
--- /dev/null
+++ b/lab/src/main/java/basaltlever/lab/manyservers/ClientLoad.java
@@ -0,0 +1,279 @@
+package basaltlever.lab.manyservers;
+
+import basaltlever.lab.manyservers.StatementLedger.Entry;
+import basaltlever.lab.manyservers.StatementLedger.Outcome;
+import basaltlever.pg.Answer;
+import basaltlever.pg.Budget;
+import basaltlever.pg.Frames;
+import basaltlever.pg.Pg;
+import basaltlever.pg.PgFault;
+import basaltlever.pg.Write;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The clients of one router: statements arrive by chance at a steady rate, a third of them on new connections, some
+ * in pairs without waiting, and some clients leave before their answer.
+ */
+final class ClientLoad {
+    private static final double ON_NEW_CONNECTION = 1 / 3.0;
+    private static final double IN_PAIRS = 0.05;
+    private static final int LARGEST_ANSWER = 1 << 20;
+    /** A client waits this much longer than it said before it counts its statement as never answered. */
+    private static final long GIVES_UP_BEHIND_MILLIS = 700;
+
+    private final EventLoop loop;
+    private final DayOptions day;
+    private final int router;
+    private final InetSocketAddress address;
+    private final DayClock clock;
+    private final StatementLedger ledger;
+    private final SplittableRandom random;
+    private final ArrayDeque<Connection> resting = new ArrayDeque<>();
+    private boolean over;
+    private int open;
+    private long sequence;
+
+    ClientLoad(EventLoop loop, DayOptions day, int router, InetSocketAddress address, DayClock clock,
+               StatementLedger ledger, SplittableRandom random) {
+        this.loop = loop;
+        this.day = day;
+        this.router = router;
+        this.address = address;
+        this.clock = clock;
+        this.ledger = ledger;
+        this.random = random;
+    }
+
+    void begin() {
+        next();
+    }
+
+    void stop() {
+        over = true;
+    }
+
+    /** Takes over the numbering of a load whose router was replaced. */
+    void continues(ClientLoad former) {
+        sequence = former.sequence;
+        open += former.open;
+        former.open = 0;
+    }
+
+    int open() {
+        return open;
+    }
+
+    private void next() {
+        if (over) {
+            return;
+        }
+        double pause = -Math.log(1 - random.nextDouble()) / day.rate() * 1_000;
+        loop.schedule(() -> {
+            if (!over) {
+                send();
+                next();
+            }
+        }, (long) (pause * 1_000), TimeUnit.MICROSECONDS);
+    }
+
+    private void send() {
+        Connection connection = random.nextDouble() < ON_NEW_CONNECTION ? null : resting.pollLast();
+        int count = random.nextDouble() < IN_PAIRS ? 2 : 1;
+        if (connection == null) {
+            connection = new Connection(random.nextDouble() < ON_NEW_CONNECTION);
+        }
+        for (int i = 0; i < count; i++) {
+            connection.ask(statement());
+        }
+    }
+
+    private Entry statement() {
+        double draw = random.nextDouble();
+        Workloads workload = draw < Workloads.VIEW.share ? Workloads.VIEW
+            : draw < Workloads.VIEW.share + Workloads.OWN_READ.share ? Workloads.OWN_READ : Workloads.POST;
+        String id = "r" + router + "x" + ++sequence;
+        open++;
+        return ledger.begins(id, workload, router, clock.nowMillis());
+    }
+
+    private String text(Entry entry) {
+        int group = random.nextInt(day.groups());
+        return "/* id=" + entry.id + ",c=" + entry.workload.key + ",d=" + entry.workload.deadlineMillis + ",cluster="
+            + group + (entry.workload == Workloads.OWN_READ ? ",after=" + (clock.nowMillis() - 5_000) : "")
+            + " */ SELECT doc FROM items WHERE id = 'k'";
+    }
+
+    private void ended(Entry entry, Outcome outcome) {
+        if (entry.outcome == null) {
+            open--;
+            ledger.ends(entry, outcome, clock.nowMillis());
+        }
+    }
+
+    /** One connection of a client; answers come in the order of what was asked on it. */
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final boolean closesAfterAnswer;
+        private final ArrayDeque<Entry> asked = new ArrayDeque<>();
+        private final ArrayDeque<String> unsent = new ArrayDeque<>();
+        private final Frames frames = new Frames(LARGEST_ANSWER, new Budget(Long.MAX_VALUE));
+        private Channel channel;
+        private boolean welcomed;
+        private boolean answeredOnce;
+        private boolean gone;
+        private Outcome told;
+
+        Connection(boolean closesAfterAnswer) {
+            this.closesAfterAnswer = closesAfterAnswer;
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(address);
+            channel = connecting.channel();
+            connecting.addListener(done -> {
+                if (!done.isSuccess()) {
+                    // Nobody took anything: the front goes to another router.
+                    notTaken();
+                }
+            });
+        }
+
+        private void notTaken() {
+            gone = true;
+            while (!asked.isEmpty()) {
+                ended(asked.poll(), Outcome.REFUSED);
+            }
+        }
+
+        void ask(Entry entry) {
+            asked.add(entry);
+            String text = text(entry);
+            if (channel.isActive()) {
+                ByteBuf out = channel.alloc().buffer();
+                Write.query(out, text);
+                channel.writeAndFlush(out);
+            } else {
+                unsent.add(text);
+            }
+            if (random.nextDouble() < day.leaveShare()) {
+                loop.schedule(this::leave, random.nextInt(60), TimeUnit.MILLISECONDS);
+            }
+            loop.schedule(() -> giveUp(entry), entry.workload.deadlineMillis + GIVES_UP_BEHIND_MILLIS,
+                TimeUnit.MILLISECONDS);
+        }
+
+        private void leave() {
+            if (gone || asked.isEmpty()) {
+                return;
+            }
+            gone = true;
+            for (Entry entry : asked) {
+                if (entry.outcome == null) {
+                    open--;
+                    ledger.leaves(entry, clock.nowMillis());
+                }
+            }
+            asked.clear();
+            channel.close();
+        }
+
+        private void giveUp(Entry entry) {
+            if (entry.outcome == null) {
+                ended(entry, Outcome.NEVER);
+                gone = true;
+                channel.close();
+            }
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            // The first query right behind the start, in one piece.
+            ByteBuf out = context.alloc().buffer();
+            Write.startup(out, "app", "shop");
+            while (!unsent.isEmpty()) {
+                Write.query(out, unsent.poll());
+            }
+            context.writeAndFlush(out);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object in) throws PgFault {
+            frames.add((ByteBuf) in);
+            for (ByteBuf message = frames.next(); message != null && !gone; message = frames.next()) {
+                message(message);
+            }
+        }
+
+        private void message(ByteBuf message) {
+            byte type = message.getByte(message.readerIndex());
+            if (type == Pg.DATA_ROW) {
+                told = Outcome.SERVED;
+            } else if (type == Pg.ERROR) {
+                String code = Answer.field(message, 'C');
+                told = code.equals("53300") || code.equals("57P03") ? Outcome.REFUSED : Outcome.FAILED;
+                if (Answer.field(message, 'S').equals("FATAL")) {
+                    answered();
+                }
+            } else if (type == Pg.READY && !welcomed) {
+                welcomed = true;
+            } else if (type == Pg.READY) {
+                answered();
+            }
+        }
+
+        private void answered() {
+            Entry entry = asked.poll();
+            if (entry == null) {
+                return;
+            }
+            ended(entry, told == null ? Outcome.FAILED : told);
+            told = null;
+            answeredOnce = true;
+            if (asked.isEmpty() && closesAfterAnswer) {
+                gone = true;
+                channel.close();
+            } else if (asked.isEmpty()) {
+                resting.add(this);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            frames.release();
+            resting.remove(this);
+            boolean rested = answeredOnce;
+            while (!asked.isEmpty()) {
+                Entry entry = asked.poll();
+                if (entry.outcome != null) {
+                    continue;
+                }
+                if (rested && entry.attempts == 0) {
+                    // It crossed the end of a resting connection: sent once more on a new one, as it was.
+                    new Connection(true).askAgain(entry);
+                } else {
+                    ended(entry, rested ? Outcome.CLOSED_RESTING : Outcome.CLOSED_NEW);
+                }
+            }
+            gone = true;
+        }
+
+        private void askAgain(Entry entry) {
+            asked.add(entry);
+            unsent.add(text(entry));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/basaltlever/lab/manyservers/RouterUnderTest.java
@@ -0,0 +1,133 @@
+package basaltlever.lab.manyservers;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One router as a process of its own, with the memory options of the deploy file, and what it uses. */
+final class RouterUnderTest implements AutoCloseable {
+    private static final long READY_MILLIS = 60_000;
+    /** As the build of the deploy file leaves it beside the jar. */
+    private static final String CLASS_ARCHIVE = "basaltlever.jsa";
+    private static final List<String> OPTIONS = List.of("-Xmx48m", "-Xms48m", "-XX:+UseSerialGC",
+        "-XX:TieredStopAtLevel=1", "-XX:MaxDirectMemorySize=32m", "-Dio.netty.maxDirectMemory=33554432",
+        "-XX:MaxMetaspaceSize=28m", "-XX:ReservedCodeCacheSize=16m", "-Xss256k", "-XX:-UsePerfData", "-Xshare:auto",
+        "-Dio.netty.machineId=00:00:00:00:00:00:00:01", "-Dio.netty.processId=1");
+
+    private final List<String> command = new ArrayList<>();
+    private final InetSocketAddress address;
+    private final Path log;
+    private Process process;
+    private int descriptorsMost;
+    private long memoryMostKb;
+    private double cpuSecondsOfFormer;
+    private long readyMillis;
+
+    RouterUnderTest(Path folder, int number, int port, Path jar, String startFile) throws IOException {
+        address = new InetSocketAddress("127.0.0.1", port);
+        log = folder.resolve("n" + number + ".log");
+        Path file = Files.writeString(folder.resolve("n" + number + ".json"), startFile);
+        command.add(System.getProperty("java.home") + "/bin/java");
+        command.addAll(OPTIONS);
+        if (jar != null && Files.exists(jar.resolveSibling(CLASS_ARCHIVE))) {
+            command.add("-XX:SharedArchiveFile=" + jar.resolveSibling(CLASS_ARCHIVE));
+        }
+        command.addAll(jar != null ? List.of("-jar", jar.toString())
+            : List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main"));
+        command.addAll(List.of("serve", "--file", file.toString()));
+    }
+
+    void start() throws IOException {
+        process = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    void awaitReady(long sinceNanos) throws IOException, InterruptedException {
+        while (process.isAlive() && System.nanoTime() < sinceNanos + READY_MILLIS * 1_000_000) {
+            try (Socket socket = new Socket()) {
+                socket.connect(address, 500);
+                readyMillis = (System.nanoTime() - sinceNanos) / 1_000_000;
+                return;
+            } catch (IOException notYet) {
+                Thread.sleep(10);
+            }
+        }
+        throw new IOException("a router did not begin to serve:\n" + Files.readString(log));
+    }
+
+    long readyMillis() {
+        return readyMillis;
+    }
+
+    /** Reads what the process uses by now. */
+    void sample() {
+        String[] descriptors = new File("/proc/" + process.pid() + "/fd").list();
+        if (descriptors != null) {
+            descriptorsMost = Math.max(descriptorsMost, descriptors.length);
+        }
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+                if (line.startsWith("VmHWM:")) {
+                    memoryMostKb = Math.max(memoryMostKb, Long.parseLong(line.replaceAll("[^0-9]", "")));
+                }
+            }
+        } catch (IOException ended) {
+            // What was read before stands.
+        }
+    }
+
+    int descriptorsMost() {
+        return descriptorsMost;
+    }
+
+    double memoryMegabytes() {
+        return memoryMostKb / 1_024.0;
+    }
+
+    double cpuSeconds() {
+        return cpuSecondsOfFormer + process.info().totalCpuDuration().map(used -> used.toNanos() / 1e9).orElse(0.0);
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    String log() throws IOException {
+        return Files.exists(log) ? Files.readString(log) : "";
+    }
+
+    /** SIGTERM, its end, and a new process in its place. */
+    void restart() throws IOException, InterruptedException {
+        double used = cpuSeconds();
+        end();
+        cpuSecondsOfFormer = used;
+        start();
+    }
+
+    private void end() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(8, TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            end();
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/basaltlever/lab/manyservers/StatementLedger.java
@@ -0,0 +1,162 @@
+package basaltlever.lab.manyservers;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What clients and servers saw of each statement, and the verdict on it. Everything is called on the one loop
+ * of the day. A router's own word counts for nothing here.
+ */
+final class StatementLedger {
+    /** How a client saw its statement end. */
+    enum Outcome { SERVED, REFUSED, FAILED, LEFT, CLOSED_NEW, CLOSED_RESTING, NEVER }
+
+    /** After its client has gone, an attempt may be on its way for so long. */
+    private static final long LEAVE_SLACK_MILLIS = 100;
+    /** An answer this much behind the deadline earns nothing; one still later is lost. */
+    private static final long LATE_SLACK_MILLIS = 500;
+    private static final long CLOCK_SLACK_MILLIS = 50;
+    private static final int KEPT_FAILURES = 20;
+
+    /** One statement from when its client wrote it. */
+    static final class Entry {
+        final String id;
+        final Workloads workload;
+        final int router;
+        final long sentAtMillis;
+        Outcome outcome;
+        long leftAtMillis = Long.MAX_VALUE;
+        long endedAtMillis;
+        int attempts;
+        int mayHaveRun;
+
+        Entry(String id, Workloads workload, int router, long sentAtMillis) {
+            this.id = id;
+            this.workload = workload;
+            this.router = router;
+            this.sentAtMillis = sentAtMillis;
+        }
+
+        long deadlineMillis() {
+            return sentAtMillis + workload.deadlineMillis;
+        }
+    }
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<Outcome, Integer> outcomes = new LinkedHashMap<>();
+    private final Map<String, Integer> broken = new LinkedHashMap<>();
+    private final Map<String, String> failures = new LinkedHashMap<>();
+    private final java.util.List<Long> servedMillis = new java.util.ArrayList<>();
+    private int statements;
+    private int late;
+
+    StatementLedger() {
+        for (Outcome outcome : Outcome.values()) {
+            outcomes.put(outcome, 0);
+        }
+        for (String rule : new String[] {"lost", "drain_late", "doubled", "cold_toppled"}) {
+            broken.put(rule, 0);
+        }
+    }
+
+    Entry begins(String id, Workloads workload, int router, long nowMillis) {
+        Entry entry = new Entry(id, workload, router, nowMillis);
+        entries.put(id, entry);
+        statements++;
+        return entry;
+    }
+
+    Entry find(String id) {
+        return entries.get(id);
+    }
+
+    /** A server took the whole text of an attempt; its client may have gone long before. */
+    void attempt(Entry entry, long nowMillis) {
+        entry.attempts++;
+        if (nowMillis - LEAVE_SLACK_MILLIS > entry.leftAtMillis) {
+            breaks("lost", entry, "an attempt " + (nowMillis - entry.leftAtMillis) + " ms after its client had gone");
+        } else if (entry.outcome != null && entry.outcome != Outcome.LEFT
+            && nowMillis > entry.endedAtMillis + CLOCK_SLACK_MILLIS) {
+            breaks("lost", entry, "an attempt " + (nowMillis - entry.endedAtMillis) + " ms after its final answer");
+        }
+    }
+
+    /** An attempt that may have had an effect. */
+    void ran(Entry entry) {
+        entry.mayHaveRun++;
+        if (!entry.workload.repeatable && entry.mayHaveRun == 2) {
+            breaks("doubled", entry, "run by two attempts");
+        }
+    }
+
+    void ends(Entry entry, Outcome outcome, long nowMillis) {
+        if (entry.outcome != null) {
+            return;
+        }
+        entry.outcome = outcome;
+        entry.endedAtMillis = nowMillis;
+        outcomes.merge(outcome, 1, Integer::sum);
+        boolean answered = outcome == Outcome.SERVED || outcome == Outcome.REFUSED || outcome == Outcome.FAILED;
+        if (outcome == Outcome.SERVED) {
+            servedMillis.add(nowMillis - entry.sentAtMillis);
+        }
+        if (answered && nowMillis > entry.deadlineMillis()) {
+            late++;
+        }
+        if (answered && nowMillis > entry.deadlineMillis() + LATE_SLACK_MILLIS) {
+            breaks("lost", entry, "answered " + (nowMillis - entry.deadlineMillis()) + " ms behind its deadline");
+        } else if (outcome == Outcome.CLOSED_NEW || outcome == Outcome.NEVER) {
+            breaks("lost", entry, outcome == Outcome.NEVER ? "never answered"
+                : "a new connection closed with no answer");
+        } else if (outcome == Outcome.CLOSED_RESTING && entry.attempts > 0) {
+            breaks("lost", entry, "read, then its connection closed with no answer");
+        } else if (outcome == Outcome.REFUSED && entry.mayHaveRun > 0 && !entry.workload.repeatable) {
+            breaks("doubled", entry, "refused though it may have run");
+        }
+    }
+
+    void leaves(Entry entry, long nowMillis) {
+        entry.leftAtMillis = nowMillis;
+        ends(entry, Outcome.LEFT, nowMillis);
+    }
+
+    void breaks(String rule, Entry entry, String how) {
+        broken.merge(rule, 1, Integer::sum);
+        if (failures.size() < KEPT_FAILURES) {
+            failures.put(entry.id + " " + entry.workload.key + " n" + entry.router + " " + rule, how + "; attempts "
+                + entry.attempts);
+        }
+    }
+
+    void coldToppled() {
+        broken.merge("cold_toppled", 1, Integer::sum);
+    }
+
+    int count(Outcome outcome) {
+        return outcomes.get(outcome);
+    }
+
+    Map<String, Object> figures() {
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("statements", statements);
+        figures.putAll(broken);
+        figures.put("late", late);
+        outcomes.forEach((outcome, count) -> figures.put(outcome.name().toLowerCase(java.util.Locale.ROOT), count));
+        figures.put("served_share", statements == 0 ? 0.0 : count(Outcome.SERVED) / (double) statements);
+        servedMillis.sort(null);
+        figures.put("p50_ms", quantile(0.5));
+        figures.put("p99_ms", quantile(0.99));
+        return figures;
+    }
+
+    private long quantile(double share) {
+        return servedMillis.isEmpty() ? 0
+            : servedMillis.get((int) Math.min(servedMillis.size() - 1, share * servedMillis.size()));
+    }
+
+    /** One line for each of the first statements that broke a rule. */
+    java.util.List<String> failures() {
+        return failures.entrySet().stream().map(failure -> failure.getKey() + ": " + failure.getValue()).toList();
+    }
+}
