--- a/lab/src/main/java/basaltlever/lab/Run.java
+++ b/lab/src/main/java/basaltlever/lab/Run.java
@@ -41,6 +41,8 @@
         description = "operator's file text for the routers, as KEY=VALUE of a section:"
         + " SECTION.KEY=VALUE; may be repeated")
     private List<String> operator = new ArrayList<>();
+    @Parameter(names = "--logs", description = "folder for the routers' logs (many-servers)")
+    private Path logs;
     @ParametersDelegate
     private final Relay relay = new Relay();
 
@@ -86,7 +88,7 @@
             Map<String, Object> figures = new LinkedHashMap<>();
             figures.put("scenario", name);
             figures.put("seed", seed);
-            figures.putAll(ManyServers.compare(day, seed, jar));
+            figures.putAll(ManyServers.compare(day, seed, jar, logs));
             Figures.tell(figures, json);
             return ((List<?>) figures.get("broken")).isEmpty() ? 0 : 1;
         } catch (DayOptions.InvalidOption fault) {
--- a/lab/src/main/java/basaltlever/lab/manyservers/ManyServers.java
+++ b/lab/src/main/java/basaltlever/lab/manyservers/ManyServers.java
@@ -1,5 +1,6 @@
 package basaltlever.lab.manyservers;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -32,15 +33,16 @@
     private static final double LEAST_SERVED = 0.85;
     private static final List<String> RULES = List.of("lost", "drain_late", "doubled", "cold_toppled", "crashed");
 
-    /** Plays the usual day, and the one with many servers; what is broken is named under its key. */
-    public static Map<String, Object> compare(DayOptions day, long seed, Path jar) throws Exception {
+    /** Plays the usual day, and the one with many servers; what is broken is named under its key. No logs where null. */
+    public static Map<String, Object> compare(DayOptions day, long seed, Path jar, Path logs)
+            throws Exception {
         Map<String, Object> figures = new LinkedHashMap<>();
         // The same groups with more members, or more groups: what the day's group size says.
         DayOptions usual = day.withServers(Math.min(USUAL_SERVERS, day.servers()),
             Math.min(day.members(), Math.max(1, day.members() * USUAL_SERVERS / Math.max(USUAL_SERVERS, day.servers())
                 * (day.members() > LARGE_GROUP ? 1 : day.servers() / USUAL_SERVERS + 1))));
-        Map<String, Object> before = day.servers() > USUAL_SERVERS ? play(usual, seed, jar) : Map.of();
-        Map<String, Object> told = play(day, seed, jar);
+        Map<String, Object> before = day.servers() > USUAL_SERVERS ? play(usual, seed, jar, logs) : Map.of();
+        Map<String, Object> told = play(day, seed, jar, logs);
         figures.put("day", told);
         figures.put("usual_day", before);
         figures.put("broken", broken(day, before, told));
@@ -50,9 +52,13 @@
     /** Groups of more members than this are taken to have grown with the list; else the number of groups has. */
     private static final int LARGE_GROUP = 8;
 
-    private static Map<String, Object> play(DayOptions day, long seed, Path jar) throws Exception {
+    private static Map<String, Object> play(DayOptions day, long seed, Path jar, Path logs) throws Exception {
         try (ManyServersDay played = new ManyServersDay(day, seed, jar)) {
-            return played.play();
+            Map<String, Object> figures = played.play();
+            if (logs != null) {
+                played.copyLogs(Files.createDirectories(logs.resolve(day.servers() + "-servers")));
+            }
+            return figures;
         }
     }
 
--- a/lab/src/main/java/basaltlever/lab/manyservers/ManyServersDay.java
+++ b/lab/src/main/java/basaltlever/lab/manyservers/ManyServersDay.java
@@ -200,9 +200,12 @@
         return java.util.stream.IntStream.range(0, routers.size()).mapToDouble(figure).average().orElse(0);
     }
 
-    /** What a router has logged. */
-    public String log(int router) throws IOException {
-        return routers.get(router).log();
+    /** Ends the routers, so that what they say last is in their logs, and copies those to the folder. */
+    void copyLogs(Path to) throws IOException {
+        routers.parallelStream().forEach(RouterUnderTest::close);
+        for (int r = 0; r < routers.size(); r++) {
+            Files.writeString(to.resolve("n" + r + ".log"), routers.get(r).log());
+        }
     }
 
     @Override
--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
@@ -7,6 +7,7 @@
 import basaltlever.core.Outside;
 import basaltlever.gateway.Ending;
 import basaltlever.gateway.Listing;
+import basaltlever.gateway.Refusal;
 import basaltlever.gateway.Role;
 import basaltlever.lab.load.Front;
 import basaltlever.lab.world.Ask;
@@ -261,7 +262,7 @@
     }
 
     @Override
-    public void reject(long ticket, Span comeBackAfter) {
+    public void reject(long ticket, Span comeBackAfter, Refusal why) {
         acts.add(() -> answer(ticket, told -> told.rejected(comeBackAfter)));
     }
 
--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -522,11 +522,11 @@
             return;
         }
         Group group = statement.group;
-        if (isOverdue(statement) || !mayRunAgain(statement, statement.out) || statement.errors > 1
-            || isShed(statement, statement.terms.onlyPrimary() ? group.primaryJam : group.jam)) {
+        Refusal refusal = refusal(statement);
+        if (refusal != null) {
             if (statement.out == 0) {
                 giveUp(statement, group.phase == Phase.HOLD && statement.terms.onlyPrimary()
-                    && mayTryElsewhere(statement));
+                    && mayTryElsewhere(statement), refusal);
             }
             return;
         }
@@ -540,7 +540,7 @@
                 for (Statement over = holds.beyond(group.held, statement.workload); over != null;
                         over = holds.beyond(group.held, statement.workload)) {
                     takeOut(over);
-                    giveUp(over, false);
+                    giveUp(over, false, Refusal.HOLD_FULL);
                 }
             } else {
                 group.waiting.add(statement);
@@ -551,6 +551,18 @@
         }
     }
 
+    /** Why the statement is not sent now or later; null where it may be. */
+    private Refusal refusal(Statement statement) {
+        if (isOverdue(statement)) {
+            return Refusal.OVERDUE;
+        }
+        if (!mayRunAgain(statement, statement.out) || statement.errors > 1) {
+            return Refusal.NO_ATTEMPT_LEFT;
+        }
+        Fading jam = statement.terms.onlyPrimary() ? statement.group.primaryJam : statement.group.jam;
+        return isShed(statement, jam) ? Refusal.SHED : null;
+    }
+
     // Where busy nodes answer late, more only keeps it so: the more of a group's reads were late, the more it
     // sheds, the less important first. The primary counts apart, or its jam kept reads off idle replicas.
     private boolean isShed(Statement statement, Fading jam) {
@@ -787,7 +799,7 @@
         return statement.executions == 0 && statement.terms.lateShare() <= 0.5;
     }
 
-    private void giveUp(Statement statement, boolean mayReturnAtOnce) {
+    private void giveUp(Statement statement, boolean mayReturnAtOnce, Refusal why) {
         boolean harmless = statement.terms.repeat() == Repeat.IDEMPOTENT
             || !statement.mayHaveRun && statement.out == 0 || statement.terms.repeat() == Repeat.DEDUPLICATED
                 && statement.terms.within() == Workload.Within.ALL;
@@ -795,7 +807,7 @@
         if (harmless) {
             // In a hold it may come back at once: only what is held is released in order to a new primary.
             double share = mayReturnAtOnce ? 0 : 0.75 + 0.25 * chance.nextDouble();
-            outbound.reject(statement.id, agreed.allowance().longestComeBack().times(share));
+            outbound.reject(statement.id, agreed.allowance().longestComeBack().times(share), why);
         } else {
             outbound.abort(statement.id);
         }
--- a/router/src/main/java/basaltlever/adapter/Instance.java
+++ b/router/src/main/java/basaltlever/adapter/Instance.java
@@ -8,6 +8,7 @@
 import basaltlever.core.Outside;
 import basaltlever.gateway.Ending;
 import basaltlever.gateway.Listing;
+import basaltlever.gateway.Refusal;
 import basaltlever.gateway.Role;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
@@ -127,7 +128,7 @@
     }
 
     @Override
-    public void reject(long ticket, Span comeBackAfter) {
+    public void reject(long ticket, Span comeBackAfter, Refusal why) {
         reply.record(number, 9, 8).putInt((int) ticket).putInt((int) comeBackAfter.micros());
     }
 
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -5,6 +5,7 @@
 import basaltlever.gateway.Ending;
 import basaltlever.gateway.Listing;
 import basaltlever.gateway.Outbound;
+import basaltlever.gateway.Refusal;
 import basaltlever.gateway.Role;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
@@ -235,9 +236,9 @@
     }
 
     @Override
-    public void reject(int statement, Span comeBackAfter) {
+    public void reject(int statement, Span comeBackAfter, Refusal why) {
         if (!answered[statement]) {
-            outside.reject(tickets[statement], comeBackAfter);
+            outside.reject(tickets[statement], comeBackAfter, why);
             settle(statement);
         }
     }
--- a/router/src/main/java/basaltlever/core/Outside.java
+++ b/router/src/main/java/basaltlever/core/Outside.java
@@ -2,6 +2,7 @@
 
 import basaltlever.change.Change;
 import basaltlever.time.Moment;
+import basaltlever.gateway.Refusal;
 import basaltlever.time.Span;
 
 /** What carries out decisions, in the ids of the outside: tickets for statements, names for nodes. */
@@ -11,7 +12,7 @@
 
     void cancel(long ticket, int execution);
 
-    void reject(long ticket, Span comeBackAfter);
+    void reject(long ticket, Span comeBackAfter, Refusal why);
 
     void abort(long ticket);
 
--- a/router/src/main/java/basaltlever/gateway/Outbound.java
+++ b/router/src/main/java/basaltlever/gateway/Outbound.java
@@ -18,7 +18,7 @@
     void cancel(int statement, int execution);
 
     /** Final answer: trying again is harmless, and best after the span. */
-    void reject(int statement, Span comeBackAfter);
+    void reject(int statement, Span comeBackAfter, Refusal why);
 
     /** Final answer: it may or may not have had an effect. */
     void abort(int statement);
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -6,7 +6,10 @@
 import basaltlever.core.Gauges;
 import basaltlever.core.Outside;
 import basaltlever.gateway.Ending;
+import basaltlever.gateway.Refusal;
 import basaltlever.gateway.Role;
+import basaltlever.log.Counter;
+import basaltlever.log.Counters;
 import basaltlever.log.Event;
 import basaltlever.log.Lives;
 import basaltlever.pg.Answer;
@@ -42,6 +45,7 @@
     private Span pollTimeout;
     private final Budget budget;
     private final Lives lives;
+    private final Counters counters;
     /** What is kept to, by number: what was decided under another is not sent. */
     private ToIntFunction<Moment> stance = now -> 0;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
@@ -65,6 +69,7 @@
         this.pollTimeout = pollTimeout;
         this.budget = budget;
         this.lives = lives;
+        counters = turn.counters();
     }
 
     void serve(Core<String> with, Runnable watchStarts) {
@@ -145,6 +150,7 @@
 
     /** Beyond what the settings allow to be open, before the decisions hear of it. */
     void turnAway(Taken taken) {
+        counters.add(Counter.REFUSED_TOO_MANY_OPEN);
         turn.act(() -> settle(taken, Pg.TOO_MANY, "too many statements are open", null));
     }
 
@@ -201,6 +207,10 @@
         Span limit = timeout.micros() == 0 ? owed : timeout.shorter(owed);
         Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
+        counters.add(Counter.EXECUTION_SENT);
+        if (execution > 0) {
+            counters.add(Counter.EXECUTION_RETRIED);
+        }
         if (taken.life != null) {
             lives.step(taken.life, execution + ">" + node);
         }
@@ -229,8 +239,17 @@
     }
 
     @Override
-    public void reject(long ticket, Span comeBackAfter) {
+    public void reject(long ticket, Span comeBackAfter, Refusal why) {
         Taken taken = statements.get(ticket);
+        counters.add(switch (why) {
+            case OVERDUE -> Counter.REFUSED_OVERDUE;
+            case SHED -> Counter.REFUSED_SHED;
+            case HOLD_FULL -> Counter.REFUSED_HOLD_FULL;
+            case NO_ATTEMPT_LEFT -> Counter.REFUSED_NO_ATTEMPT_LEFT;
+        });
+        if (taken.life != null) {
+            lives.step(taken.life, why.name());
+        }
         long millis = comeBackAfter.micros() / 1_000;
         turn.act(() -> settle(taken, Pg.TOO_MANY, "nothing was done, try again",
             millis > 0 ? "" + millis : null));
@@ -239,12 +258,14 @@
     @Override
     public void abort(long ticket) {
         Taken taken = statements.get(ticket);
+        counters.add(Counter.FAILED_EFFECT_UNKNOWN);
         turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the statement may or may not have had an effect",
             null));
     }
 
     @Override
     public void poll(String node) {
+        counters.add(Counter.POLL_SENT);
         turn.act(() -> start(new Poll(node), node, pollTimeout));
     }
 
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.log.Counter;
 import basaltlever.log.Event;
 import basaltlever.log.Lives;
 import basaltlever.pg.Arrivals;
@@ -161,8 +162,10 @@
     void endOverdue(Moment now) {
         boolean overdue = now.since(asked ? partSince : since).isLongerThan(PATIENCE);
         if (overdue && state == State.READY && frames.size() == 0) {
+            clients.counters().add(Counter.CLIENT_CLOSED_SILENT);
             endSending();
         } else if (overdue && (state == State.STARTING || state == State.READY)) {
+            clients.counters().add(Counter.CLIENT_CLOSED_SILENT);
             refuse(new PgFault(Pg.VIOLATION, "a message did not come whole in time"));
         }
     }
@@ -175,6 +178,7 @@
     private void refuse(PgFault fault) {
         if (state != State.CLOSED) {
             clients.spoilt(context.channel().remoteAddress(), fault.getMessage());
+            clients.counters().add(Counter.CLIENT_CLOSED_PROTOCOL_ERROR);
             ByteBuf out = context.alloc().buffer();
             Write.error(out, "FATAL", fault.code, fault.getMessage(), null);
             linger(context.writeAndFlush(out));
@@ -257,6 +261,7 @@
             Query query = Query.read(text);
             int workload = clients.workload(query);
             if (clients.refusesAll()) {
+                clients.counters().add(Counter.REFUSED_SHUTDOWN);
                 throw new PgFault(Pg.TOO_MANY, "this router ends, and nothing was done");
             }
             state = State.BUSY;
@@ -340,8 +345,10 @@
     public void closeIdle() {
         // Part of a first statement is none yet; part of a later one is its client's, who waits here.
         if (state == State.CLOSED || !asked) {
+            clients.counters().add(Counter.CLIENT_CLOSED_UNREAD);
             close();
         } else if (frames.size() == 0) {
+            clients.counters().add(Counter.CLIENT_CLOSED_IDLE);
             endSending();
         }
     }
@@ -401,6 +408,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext in) {
+        if (state != State.CLOSED) {
+            clients.counters().add(Counter.CLIENT_CLOSED_BY_PEER);
+        }
         gone();
         clients.closed(this, lingers);
     }
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -2,6 +2,8 @@
 
 import basaltlever.config.Places;
 import basaltlever.core.Core;
+import basaltlever.log.Counter;
+import basaltlever.log.Counters;
 import basaltlever.log.Lives;
 import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
@@ -54,6 +56,10 @@
         bad.note(client, what);
     }
 
+    Counters counters() {
+        return turn.counters();
+    }
+
     Descriptors descriptors() {
         return descriptors;
     }
@@ -61,6 +67,7 @@
     /** A new connection, or null where there is no room for one. */
     ClientConnection admit() {
         if (!descriptors.admitsClient()) {
+            counters().add(Counter.CLIENT_CLOSED_UNREAD);
             return null;
         }
         ClientConnection connection = new ClientConnection(this, budget);
--- a/router/src/main/java/basaltlever/net/Descriptors.java
+++ b/router/src/main/java/basaltlever/net/Descriptors.java
@@ -1,8 +1,12 @@
 package basaltlever.net;
 
+import basaltlever.log.Event;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import java.util.LinkedHashSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Shares the file descriptors between clients and nodes. Where they run out, the connection that has been
@@ -25,6 +29,8 @@
     private static final int FOR_CLIENTS = 4;
     /** So many may linger beyond what is shared out; of more, the one that has lingered longest goes. */
     private static final int LINGERING = 8;
+    private static final Logger LOG = LoggerFactory.getLogger(Descriptors.class);
+    private String reported = "";
     private int most;
     private int open;
     private int clients;
@@ -39,6 +45,17 @@
         this.most = most;
     }
 
+    /** Logs how many are open by use, where that has changed since the last time. */
+    void report() {
+        String by = most + " " + open + " " + clients + " " + idleClients.size() + " " + lingering.size() + " "
+            + idleNodes.size();
+        if (!by.equals(reported)) {
+            reported = by;
+            Event.DESCRIPTORS.log(LOG, Level.INFO, "", most, open, clients, idleClients.size(), lingering.size(),
+                open - clients - lingering.size(), idleNodes.size());
+        }
+    }
+
     /** Where fewer are allowed than are open, newcomers take the place of the idle until it fits. */
     void most(int now) {
         most = now;
--- a/router/src/main/java/basaltlever/net/NodeConnection.java
+++ b/router/src/main/java/basaltlever/net/NodeConnection.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.gateway.Ending;
+import basaltlever.log.Counter;
 import basaltlever.log.Event;
 import basaltlever.pg.Answer;
 import basaltlever.pg.Budget;
@@ -54,6 +55,7 @@
         channel = opening;
         upBy = opening.eventLoop().schedule(() -> {
             if (state == State.OPENING) {
+                link.count(Counter.NODE_CONNECT_TIMED_OUT);
                 close();
             }
         }, micros, TimeUnit.MICROSECONDS);
@@ -171,12 +173,14 @@
     /** One that is still being opened may serve another query. */
     void abandon() {
         if (state != State.OPENING) {
+            link.count(Counter.NODE_CONNECTION_ABANDONED);
             close();
         }
     }
 
     @Override
     public void closeIdle() {
+        link.count(Counter.NODE_CONNECTION_EVICTED);
         close();
     }
 
@@ -189,6 +193,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (state != State.CLOSED) {
+            link.count(Counter.NODE_CONNECTION_LOST);
+        }
         gone();
     }
 
--- a/router/src/main/java/basaltlever/net/NodeLink.java
+++ b/router/src/main/java/basaltlever/net/NodeLink.java
@@ -1,6 +1,7 @@
 package basaltlever.net;
 
 import basaltlever.gateway.Ending;
+import basaltlever.log.Counter;
 import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
 import basaltlever.time.Moment;
@@ -72,6 +73,10 @@
         bad.note(this, what);
     }
 
+    void count(Counter counter) {
+        turn.counters().add(counter);
+    }
+
     Moment now() {
         return turn.clock().now();
     }
@@ -105,12 +110,14 @@
 
     private void closeStale() {
         while (!idle.isEmpty() && !now().since(idle.peekLast().idleSince()).isShorterThan(keptFor)) {
+            turn.counters().add(Counter.NODE_CONNECTION_EXPIRED);
             idle.peekLast().close();
         }
     }
 
     private void open(Job job) {
         if (address == null || !descriptors.admitsNode()) {
+            turn.counters().add(Counter.EXECUTION_WITHOUT_DESCRIPTOR);
             job.endLost(Ending.NO_CONNECTION, Ending.RESET);
             return;
         }
@@ -118,6 +125,7 @@
         ChannelFuture connecting = bootstrap.clone().handler(connection).connect(address);
         connection.opens(connecting.channel(), connectTimeout.micros());
         opening++;
+        turn.counters().add(Counter.NODE_CONNECTION_OPENED);
         connecting.addListener(done -> {
             opening--;
             if (!done.isSuccess()) {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -71,6 +71,7 @@
     private static final Span SWEEPS = Span.ofMillis(200);
     private static final Span READS = Span.ofMillis(1_000);
     private static final int READ_IN = 3;
+    private static final Span REPORTS = Span.ofMillis(5_000);
     private static final Span LONGEST_LOOK = Span.ofMillis(1_000);
     /** For the first list to come; a process is held to what discovery knows before it has asked. */
     private static final Span LONGEST_CALL = Span.ofMillis(2_000);
@@ -420,6 +421,7 @@
         carrier.serve(core, watch::start);
         every(SWEEPS, "sweeping", this::sweep);
         every(READS, "reading tables", this::readTables);
+        every(REPORTS, "reporting counters", this::report);
     }
 
     /** A task that is repeated would never run again after one fault. */
@@ -440,6 +442,11 @@
         clients.sweep();
     }
 
+    private void report() {
+        turn.counters().report();
+        descriptors.report();
+    }
+
     /** Each member's table every third time: all tell the same, so a group is asked about once a second. */
     private void readTables() {
         reads++;
@@ -569,6 +576,7 @@
             end();
             return;
         }
+        report();
         clients.refuseAll();
         turn.hear(carrier::answerAll);
         turn.hear(now -> turn.act(() -> {
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -1,6 +1,9 @@
 package basaltlever.net;
 
+import basaltlever.log.Counter;
+import basaltlever.log.Counters;
 import basaltlever.log.Event;
+import basaltlever.log.Tally;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.channel.SingleThreadEventLoop;
@@ -21,6 +24,10 @@
     private static final Span AT_ONCE = Span.ofMillis(5);
     private final SingleThreadEventLoop loop;
     private final Clock clock;
+    private final Counters counters = new Counters();
+    /** A turn that takes longer than this is counted, and named in the log. */
+    private static final Span SLOW = Span.ofMillis(20);
+    private final Tally slowTurns;
     /** A turn that comes this much after its reading does not know any more what has come since. */
     private static final Span HELD_UP = Span.ofMillis(50);
     /** This loop is never without something to do for longer. */
@@ -47,6 +54,7 @@
     Turn(SingleThreadEventLoop loop, Clock clock) {
         this.loop = loop;
         this.clock = clock;
+        slowTurns = new Tally(LOG, Event.TURN_SLOW, clock::now);
         now = clock.now();
         began = now;
         earliest = now;
@@ -142,6 +150,16 @@
             guarded("carrying out", act);
         }
         ended = clock.now();
+        if (ended.since(began).isLongerThan(SLOW)) {
+            counters.add(Counter.TURN_SLOW);
+            slowTurns.note(ended.since(began).micros() / 1_000, "reading took " + now.since(began).micros() / 1_000
+                + " ms of it");
+        }
+    }
+
+    /** What this router counts. */
+    Counters counters() {
+        return counters;
     }
 
     private void decide(ArrayDeque<Consumer<Moment>> inputs) {
--- a/router/src/main/java/basaltlever/net/Watch.java
+++ b/router/src/main/java/basaltlever/net/Watch.java
@@ -4,6 +4,7 @@
 import basaltlever.discovery.ChunkReader;
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
+import basaltlever.log.Counter;
 import basaltlever.log.Event;
 import basaltlever.time.Span;
 import io.netty.bootstrap.Bootstrap;
@@ -199,6 +200,7 @@
         }
 
         private void failed(String why) {
+            turn.counters().add(Counter.LIST_CALL_FAILED);
             Event.WATCH_FAILED.log(LOG, Level.INFO, "", why);
             turn.hear(core::listFailed);
         }
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -335,7 +335,7 @@
     }
 
     @Override
-    public void reject(int statement, Span comeBackAfter) {
+    public void reject(int statement, Span comeBackAfter, Refusal why) {
         Fate fate = fates.get(statement);
         check(!comeBackAfter.isLongerThan(allowance.longestComeBack()), "advice too long");
         check(fate.terms.repeat() == Repeat.IDEMPOTENT || !fate.mayHaveRun && fate.out == 0,
@@ -541,7 +541,7 @@
             }
 
             @Override
-            public void reject(long ticket, Span comeBackAfter) {
+            public void reject(long ticket, Span comeBackAfter, Refusal why) {
                 told.add("reject");
             }
 
