Cold servers at scale: a router's first statement need not wait for its share; what is polled, logged

Cause: a cold server gets nothing from a router before a random part of that router's share has passed. Change: a statement that has just come may be the router's first to a cold server, thinned by its warmth (writes by the share of the budget that is kept to); what has waited still goes by the share, since all routers may have some at once. HoldBudget goes over groups that hold something only, tables of planned changes are asked of members polled lately; event `watched`.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -97,6 +97,7 @@
     private final WatchedGroups watchedGroups = new WatchedGroups();
     private final PollSchedule polls = new PollSchedule(SECOND.plus(SCAN));
     private boolean lookedAround;
+    private String toldWatched = "";
     private final WarmCapacity warmCapacity = new WarmCapacity();
     final Map<Integer, Group> groups = new HashMap<>();
     private Statement[] statements = new Statement[256];
@@ -266,6 +267,19 @@
         }
     }
 
+    /** To the log of whoever is on call, where it has changed. */
+    public void reportWatched() {
+        int listed = 0;
+        for (Node node : nodes) {
+            listed += node != null && node.listing != Listing.GONE ? 1 : 0;
+        }
+        String told = watchedGroups.size() + " " + watchedGroups.members() + " " + listed;
+        if (!told.equals(toldWatched)) {
+            toldWatched = told;
+            outbound.watched(watchedGroups.size(), watchedGroups.members(), listed);
+        }
+    }
+
     /** A first look at a part of a long list, so that the first statements find some roles and open connections. */
     private void lookAround() {
         lookedAround = true;
@@ -894,7 +908,7 @@
         // A list may name what does not exist: who never said a word gets nothing where another member did.
         return listedForUse(node) && !node.down && (node.heard || !node.group.heard || !node.wasContacted())
             && !now.isBefore(node.restsUntil) && (!node.silent || onTrial)
-            && (warmth(node) >= 1 || coldAllows(node, typical[statement.workload]));
+            && (warmth(node) >= 1 || coldAllows(node, typical[statement.workload]) || isFirstToCold(node, statement));
     }
 
     private boolean isConnected(Node node) {
@@ -949,6 +963,7 @@
         if (warmth(node) < 1) {
             node.coldWork = coldLevel(node) + typical[statement.workload];
             node.coldAt = now;
+            node.coldUntried = false;
         }
         // A connection may have to be opened first: later, no proof covers the bound and no window a repeat.
         boolean proven = terms.needs() == Needs.BOUNDED && !agreed.replication().replicasCheck()
@@ -1274,6 +1289,7 @@
         if (at.isAfter(node.startedAt)) {
             node.startedAt = at;
             node.coldWork = chance.nextDouble() * typicalOfAll;
+            node.coldUntried = true;
             node.coldAt = now;
         }
     }
@@ -1338,6 +1354,21 @@
         return node.borne.at(now, FORGIVEN) / FORGIVEN.over(SECOND);
     }
 
+    /**
+     * A statement that has just come, where this router has sent nothing to the server since its start. Routers with
+     * little traffic each would wait for longer than the server takes to warm up before their shares added up to one
+     * statement. What arrives is spread over time by itself; thinned, its sum stays within the budget. What has
+     * waited is not: all routers may have some, and would send it at once.
+     */
+    private boolean isFirstToCold(Node node, Statement statement) {
+        if (!node.coldUntried || statement.executions > 0 || !statement.takenAt.equals(now)) {
+            return false;
+        }
+        double share = statement.terms.onlyPrimary() ? COLD_SAFETY * agreed.warmUp().topplesAt() * warmth(node)
+            : warmth(node);
+        return chance.nextDouble() < share;
+    }
+
     private boolean coldAllows(Node node, double work) {
         double burst = coldRate(node) * COLD_BURST * agreed.warmUp().topplesIn().over(SECOND);
         return coldLevel(node) <= 0 || coldLevel(node) + work <= burst;
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -82,6 +82,11 @@
         }
     }
 
+    /** Tells on-call how much of the list is polled regularly, where that has changed. */
+    public void reportWatched() {
+        balance.reportWatched();
+    }
+
     /** Members there are, and those gone that a rule may still ask for. */
     public int nodesKnown() {
         return nodeIndices.size();
@@ -289,6 +294,11 @@
         outside.change(group, phase, nodes.get(target));
     }
 
+    @Override
+    public void watched(int groups, int members, int listed) {
+        outside.watched(groups, members, listed);
+    }
+
     @Override
     public void primary(int group, int node, boolean found) {
         outside.primary(group, nodes.get(node), found);
--- a/router/src/main/java/basaltlever/core/Outside.java
+++ b/router/src/main/java/basaltlever/core/Outside.java
@@ -32,4 +32,7 @@
     void change(int group, Change.Phase phase, N target);
 
     void primary(int group, N node, boolean found);
+
+    /** Tells on-call how many groups and members are polled regularly, of how many members that are listed. */
+    default void watched(int groups, int members, int listed) { }
 }
--- a/router/src/main/java/basaltlever/endpoints/WatchedGroups.java
+++ b/router/src/main/java/basaltlever/endpoints/WatchedGroups.java
@@ -104,4 +104,9 @@
     public int size() {
         return watched.size();
     }
+
+    /** Members in service of those. */
+    public int members() {
+        return members;
+    }
 }
--- a/router/src/main/java/basaltlever/gateway/Outbound.java
+++ b/router/src/main/java/basaltlever/gateway/Outbound.java
@@ -42,6 +42,9 @@
     /** Tells on-call of a planned change's phase; its target may be -1. */
     void change(int group, Change.Phase phase, int target);
 
+    /** Tells on-call how many groups and members are polled regularly, of how many members that are listed. */
+    default void watched(int groups, int members, int listed) { }
+
     /** Tells on-call that a group has found its primary, or lost it. */
     void primary(int group, int node, boolean found);
 }
--- a/router/src/main/java/basaltlever/hold/HoldBudget.java
+++ b/router/src/main/java/basaltlever/hold/HoldBudget.java
@@ -2,8 +2,9 @@
 
 import basaltlever.model.Held;
 import basaltlever.model.Statement;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /**
  * How much may be held: in all, for each group, and for each workload of a group, in statements and bytes.
@@ -16,7 +17,8 @@
     private static final double OF_ALL = 0.5;
     private static final double OF_GROUP = 0.75;
 
-    private final List<Held> groups = new ArrayList<>();
+    /** Groups that hold something, and some that have released all since they were last gone over. */
+    private final Set<Held> holding = new LinkedHashSet<>();
     private int statements;
     private long bytes;
 
@@ -32,18 +34,16 @@
     }
 
     public Held group(int workloads) {
-        Held held = new Held(workloads);
-        groups.add(held);
-        return held;
+        return new Held(workloads);
     }
 
     /** It holds nothing any more, and its group is forgotten. */
     public void forget(Held held) {
-        groups.remove(held);
+        holding.remove(held);
     }
 
     public int held() {
-        return groups.stream().mapToInt(Held::size).sum();
+        return holding.stream().mapToInt(Held::size).sum();
     }
 
     /**
@@ -51,6 +51,7 @@
      * then.
      */
     public Statement beyond(Held added, int workload) {
+        holding.add(added);
         int mostOfGroup = (int) Math.max(1, statements * OF_ALL);
         if (added.size() > mostOfGroup || added.bytes() > bytes * OF_ALL && added.size() > 1) {
             return added.last();
@@ -62,7 +63,12 @@
         long size = 0;
         Held most = added;
         Held largest = added;
-        for (Held held : groups) {
+        for (Iterator<Held> each = holding.iterator(); each.hasNext();) {
+            Held held = each.next();
+            if (held.isEmpty()) {
+                each.remove();
+                continue;
+            }
             count += held.size();
             size += held.bytes();
             most = held.size() > most.size() ? held : most;
--- a/router/src/main/java/basaltlever/model/Node.java
+++ b/router/src/main/java/basaltlever/model/Node.java
@@ -73,6 +73,8 @@
     /** Work that it answered for this router, lately. */
     public final Fading borne = new Fading();
     public double coldWork;
+    /** Since its last start this router has sent it nothing. */
+    public boolean coldUntried;
     public Moment coldAt = Moment.LONG_AGO;
 
     /** In service as the list has it. */
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -24,6 +24,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Carrier.class);
     /** The decisions' own timers, and executions cut to the same moment, come first. */
     private static final Span GUARD = Span.ofMillis(10);
+    /** Members that are asked for planned changes. */
+    private static final int MOST_ASKED = 128;
     private final Turn turn;
     private final EventLoop loop;
     private final Function<String, NodeLink> links;
@@ -62,6 +65,7 @@
     private final Set<String> firstLook = new HashSet<>();
     private final Set<String> absent = new HashSet<>();
     private boolean looked;
+    private final LinkedHashSet<String> polledLately = new LinkedHashSet<>();
     private Core<String> core;
     private Runnable watch;
 
@@ -113,6 +117,11 @@
         changeTable = table;
     }
 
+    /** Members polled lately, the latest last: those that are asked for planned changes. */
+    Set<String> polledLately() {
+        return polledLately;
+    }
+
     /** Apart from polls, which a router with little traffic sends too rarely to hear of a change in time. */
     void readTable(String node) {
         if (!changeTable.isEmpty()) {
@@ -288,6 +297,13 @@
     @Override
     public void poll(String node) {
         counters.add(Counter.POLL_SENT);
+        if (!changeTable.isEmpty()) {
+            polledLately.remove(node);
+            polledLately.add(node);
+            if (polledLately.size() > MOST_ASKED) {
+                polledLately.remove(polledLately.iterator().next());
+            }
+        }
         if (!absent.contains(node)) {
             looked = true;
             firstLook.add(node);
@@ -342,6 +358,11 @@
         Event.CHANGE.log(LOG, Level.INFO, "", group, phase, target);
     }
 
+    @Override
+    public void watched(int groups, int members, int listed) {
+        Event.WATCHED.log(LOG, Level.INFO, "", groups, members, listed);
+    }
+
     @Override
     public void primary(int group, String node, boolean found) {
         (found ? Event.PRIMARY_FOUND : Event.PRIMARY_LOST).log(LOG, Level.INFO, "", group, links.apply(node));
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -457,13 +457,14 @@
     private void report() {
         turn.counters().report();
         descriptors.report();
+        core.reportWatched();
     }
 
-    /** Each member's table every third time: all tell the same, so a group is asked about once a second. */
+    /** The table of each member in use every third time: all tell the same, so a group is asked about once a second. */
     private void readTables() {
         reads++;
         int place = 0;
-        for (String node : links.keySet()) {
+        for (String node : List.copyOf(carrier.polledLately())) {
             if ((place++ + reads) % READ_IN == 0) {
                 carrier.readTable(node);
             }
