--- a/lab/src/main/java/basaltlever/lab/manyservers/DayOptions.java
+++ b/lab/src/main/java/basaltlever/lab/manyservers/DayOptions.java
@@ -9,7 +9,7 @@
 public record DayOptions(int servers, int routers, int members, double rate, double seconds, int sockets,
                          double drainShare, double removeShare, double coldShare, double cutShare,
                          double leaveShare, int restarts, int listPieceBytes, int listPieceMillis,
-                         boolean listIndented, int discoveryCapacity) {
+                         boolean listIndented, int discoveryCapacity, int wholeLists) {
 
     /** An option that can't be used; the message names the key, the value and what the key takes. */
     public static final class InvalidOption extends Exception {
@@ -42,6 +42,7 @@
         options.put("list_piece_ms", new Option(0, 1_000, 0));
         options.put("list_indented", new Option(0, 1, 0));
         options.put("discovery_capacity", new Option(1, 1_000, 100));
+        options.put("whole_lists", new Option(0, 100, 0));
         return options;
     }
 
@@ -82,13 +83,13 @@
             values.get("cold_share"), values.get("cut_share"), values.get("leave_share"),
             values.get("restarts").intValue(), values.get("list_piece_bytes").intValue(),
             values.get("list_piece_ms").intValue(), values.get("list_indented") >= 1,
-            values.get("discovery_capacity").intValue());
+            values.get("discovery_capacity").intValue(), values.get("whole_lists").intValue());
     }
 
     /** The same day with another number of servers; larger groups where the group count is kept. */
     public DayOptions withServers(int count, int groupSize) {
         return new DayOptions(count, routers, groupSize, rate, seconds, sockets, drainShare, removeShare, coldShare,
-            cutShare, leaveShare, restarts, listPieceBytes, listPieceMillis, listIndented, discoveryCapacity);
+            cutShare, leaveShare, restarts, listPieceBytes, listPieceMillis, listIndented, discoveryCapacity, wholeLists);
     }
 
     int groups() {
--- a/lab/src/main/java/basaltlever/lab/manyservers/DiscoveryService.java
+++ b/lab/src/main/java/basaltlever/lab/manyservers/DiscoveryService.java
@@ -96,6 +96,15 @@
         new ArrayList<>(watches).forEach(watch -> watch.tellAfter(version - 1));
     }
 
+    /** Writes the whole list to all watches, so many times in a row. */
+    void repeatWholeList(int times) {
+        for (Watch watch : new ArrayList<>(watches)) {
+            for (int i = 0; i < times; i++) {
+                watch.tell(listed(), true);
+            }
+        }
+    }
+
     long bytesWritten(int router) {
         return bytesWritten[router];
     }
--- a/lab/src/main/java/basaltlever/lab/manyservers/ManyServersDay.java
+++ b/lab/src/main/java/basaltlever/lab/manyservers/ManyServersDay.java
@@ -15,6 +15,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /** One day: thousands of simulated servers on loopback, routers as processes, and a ledger that judges them. */
@@ -25,6 +27,8 @@
     private static final double DRAINS_AT = 0.5;
     private static final double REMOVES_AT = 0.75;
     private static final double RESTARTS_AT = 0.35;
+    private static final double WHOLE_LISTS_AT = 0.6;
+    private static final Pattern SLOW_TURN = Pattern.compile("event=turn_slow took_ms=(\\d+)");
 
     private final DayOptions day;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -102,6 +106,7 @@
     private void scheduleFaults() {
         at(DRAINS_AT, this::drainSome);
         at(REMOVES_AT, this::removeSome);
+        at(WHOLE_LISTS_AT, () -> discovery.repeatWholeList(day.wholeLists()));
         if (day.cutShare() > 0) {
             for (double when = 0.1; when < 1; when += 0.1) {
                 at(when, () -> farm.cutConnections(day.cutShare()));
@@ -187,11 +192,25 @@
         figures.put("list_bytes", meanOf(router -> discovery.bytesWritten(router)));
         figures.put("list_calls", meanOf(discovery::calls));
         figures.put("ready_ms_most", routers.stream().mapToLong(RouterUnderTest::readyMillis).max().orElse(0));
+        figures.put("turn_most_ms", longestTurn());
         figures.put("crashed", (int) routers.stream().filter(router -> !router.isAlive()).count());
         figures.put("failures", ledger.failures());
         return figures;
     }
 
+    /** The longest turn that a router has logged since it serves; 0 where all were short. */
+    private int longestTurn() {
+        int longest = 0;
+        for (RouterUnderTest router : routers) {
+            String log = router.log();
+            Matcher slow = SLOW_TURN.matcher(log);
+            for (int from = Math.max(0, log.lastIndexOf("event=serves")); slow.find(from); from = slow.end()) {
+                longest = Math.max(longest, Integer.parseInt(slow.group(1)));
+            }
+        }
+        return longest;
+    }
+
     private double mean(ToDoubleFunction<RouterUnderTest> figure) {
         return routers.stream().mapToDouble(figure).average().orElse(0);
     }
--- a/lab/src/main/java/basaltlever/lab/manyservers/RouterUnderTest.java
+++ b/lab/src/main/java/basaltlever/lab/manyservers/RouterUnderTest.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -102,8 +103,13 @@
         return process.isAlive();
     }
 
-    String log() throws IOException {
-        return Files.exists(log) ? Files.readString(log) : "";
+    /** All that its processes have logged so far. */
+    String log() {
+        try {
+            return Files.exists(log) ? Files.readString(log) : "";
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
     }
 
     /** SIGTERM, its end, and a new process in its place. */
--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -584,6 +584,8 @@
         group.holdSince = now;
         group.lost = node;
         group.primary = null;
+        group.searchCursor = 0;
+        group.searchFrom = Moment.LONG_AGO;
         outbound.primary(group.number, node.id, false);
         change(group);
     }
--- a/router/src/main/java/basaltlever/cli/FleetCommand.java
+++ b/router/src/main/java/basaltlever/cli/FleetCommand.java
@@ -398,8 +398,7 @@
         }
         command(terms, left, Map.of("do", "recover", "fleet", terms.name(), "number", recover.charter, "ended",
             recover.ended, "who", recover.who, "why", recover.why));
-        long until = System.currentTimeMillis() + BEGINS_MILLIS;
-        while (System.currentTimeMillis() < until) {
+        for (long since = System.nanoTime(); millisSince(since) < BEGINS_MILLIS;) {
             Map<String, Object> told = Call.ask(terms.peers().get(left), Map.of("do", "status", "fleet", terms.name()));
             if (Message.flag(told, "leads") && Message.number(told, "charter") == recover.charter) {
                 tell(out, recover, Map.of("charter", recover.charter, "voter", left), "charter " + recover.charter
@@ -412,6 +411,11 @@
             + " fleet voters");
     }
 
+    /** On the monotonic clock: a step of the wall clock neither ends a wait nor prolongs it. */
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000;
+    }
+
     private void propose(PrintStream out, Propose of, String text) throws Refusal, StartFault, IOException,
         InterruptedException {
         Terms terms = terms(of);
@@ -428,8 +432,7 @@
         if (!Message.text(answer, "do").equals("taken")) {
             throw new Refusal(REFUSED, Message.text(answer, "do") + ": " + Message.text(answer, "why"));
         }
-        long until = System.currentTimeMillis() + of.waitMillis;
-        while (System.currentTimeMillis() < until) {
+        for (long since = System.nanoTime(); millisSince(since) < of.waitMillis;) {
             Map<String, Object> now = told(terms);
             for (Object line : (List<?>) now.get("history")) {
                 Map<?, ?> chapter = (Map<?, ?>) line;
--- a/router/src/test/java/basaltlever/StandIn.java
+++ b/router/src/test/java/basaltlever/StandIn.java
@@ -527,8 +527,8 @@
         }
 
         /** Carries nothing out. */
-        static final class Silent implements basaltlever.core.Outside<String> {
-            final List<String> told = new ArrayList<>();
+        public static final class Silent implements basaltlever.core.Outside<String> {
+            public final List<String> told = new ArrayList<>();
 
             @Override
             public void execute(long ticket, int execution, String node, Span timeout, Moment sendBy) {
@@ -871,7 +871,7 @@
             }
         }
 
-        static StartValues values() throws StartFault {
+        public static StartValues values() throws StartFault {
             return StartFile.of(startFile(1, 2, "[]")).values();
         }
 
@@ -975,7 +975,7 @@
             Write.complete(out, "SELECT 1");
         }
 
-        static ServerSocket listen(int port) {
+        public static ServerSocket listen(int port) {
             try {
                 return new ServerSocket(port, 50, java.net.InetAddress.getLoopbackAddress());
             } catch (IOException e) {
@@ -1009,7 +1009,7 @@
             thread.start();
         }
 
-        static void send(Socket socket, ByteBuf out) throws IOException {
+        public static void send(Socket socket, ByteBuf out) throws IOException {
             socket.getOutputStream().write(ByteBufUtil.getBytes(out));
         }
 
