A socket that can't be had ends its execution, poll or call at once, on the loop

Cause: where socket() fails (ENFILE, ENOBUFS), or connect() at once, Bootstrap.connect answers with a finished future whose channel may belong to no loop. NodeLink.connect and Watch.start went on with it: an exception on the loop, an execution that ended only with its time, a descriptor counted for ever, a watch that nobody asked for again for 5 s. Change: both look at the finished future first and end what they hold right there.

--- a/router/src/main/java/basaltlever/net/NodeLink.java
+++ b/router/src/main/java/basaltlever/net/NodeLink.java
@@ -127,6 +127,11 @@
     private void connect(Job job) {
         NodeConnection connection = new NodeConnection(this, address, budget, job);
         ChannelFuture connecting = bootstrap.clone().handler(connection).connect(address);
+        if (connecting.isDone() && !connecting.isSuccess()) {
+            // No socket was to be had, or no way leads there: such a channel may belong to no loop.
+            connection.gone();
+            return;
+        }
         connection.opens(connecting.channel(), connectTimeout.micros());
         opening++;
         turn.counters().add(Counter.NODE_CONNECTION_OPENED);
--- a/router/src/main/java/basaltlever/net/Watch.java
+++ b/router/src/main/java/basaltlever/net/Watch.java
@@ -96,6 +96,11 @@
         ChannelFuture connecting = bootstrap.clone().handler(call)
             .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(1))
             .connect(discovery);
+        if (connecting.isDone() && !connecting.isSuccess()) {
+            // No socket was to be had, or no way leads there: such a channel may belong to no loop.
+            call.fail("no connection to discovery: " + connecting.cause().getMessage());
+            return;
+        }
         call.channel = connecting.channel();
         call.check();
         connecting.addListener(done -> {
@@ -257,7 +262,9 @@
             if (timer != null) {
                 timer.cancel(false);
             }
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
         }
     }
 }
