--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -6,7 +6,10 @@
 import basaltlever.core.Gauges;
 import basaltlever.core.Outside;
 import basaltlever.gateway.Ending;
+import basaltlever.gateway.Refusal;
 import basaltlever.gateway.Role;
+import basaltlever.log.Counter;
+import basaltlever.log.Counters;
 import basaltlever.log.Event;
 import basaltlever.log.Lives;
 import basaltlever.pg.Answer;
@@ -20,6 +23,8 @@
 import io.netty.util.collection.LongObjectHashMap;
 import io.netty.util.concurrent.Future;
 import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -42,6 +47,7 @@
     private Span pollTimeout;
     private final Budget budget;
     private final Lives lives;
+    private final Counters counters;
     /** What is kept to, by number: what was decided under another is not sent. */
     private ToIntFunction<Moment> stance = now -> 0;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
@@ -52,6 +58,10 @@
     private Moment looksAt = Moment.NEVER;
     /** Empty where members are not asked for planned changes. */
     private String changeTable = "";
+    /** Members that are being polled, and those that a start does not wait for. */
+    private final Set<String> firstLook = new HashSet<>();
+    private final Set<String> absent = new HashSet<>();
+    private boolean looked;
     private Core<String> core;
     private Runnable watch;
 
@@ -65,6 +75,7 @@
         this.pollTimeout = pollTimeout;
         this.budget = budget;
         this.lives = lives;
+        counters = turn.counters();
     }
 
     void serve(Core<String> with, Runnable watchStarts) {
@@ -72,6 +83,22 @@
         watch = watchStarts;
     }
 
+    /** An earlier process had no answer from it: a start does not wait for one. */
+    void isAbsent(String node) {
+        absent.add(node);
+        firstLook.remove(node);
+    }
+
+    /** Whether members were polled, and each of them has answered or failed. */
+    boolean hasLookedAround() {
+        return looked && firstLook.isEmpty();
+    }
+
+    /** The start is over: nobody waits for a first look any more. */
+    void serves() {
+        absent.clear();
+    }
+
     /** What members' reports hold from now on, and how long one may take. */
     void reads(Gauges by, Span within) {
         gauges = by;
@@ -145,6 +172,7 @@
 
     /** Beyond what the settings allow to be open, before the decisions hear of it. */
     void turnAway(Taken taken) {
+        counters.add(Counter.REFUSED_TOO_MANY_OPEN);
         turn.act(() -> settle(taken, Pg.TOO_MANY, "too many statements are open", null));
     }
 
@@ -201,6 +229,10 @@
         Span limit = timeout.micros() == 0 ? owed : timeout.shorter(owed);
         Execution job = new Execution(taken, execution, turn.now().plus(limit), sendBy);
         taken.executions.add(job);
+        counters.add(Counter.EXECUTION_SENT);
+        if (execution > 0) {
+            counters.add(Counter.EXECUTION_RETRIED);
+        }
         if (taken.life != null) {
             lives.step(taken.life, execution + ">" + node);
         }
@@ -229,8 +261,17 @@
     }
 
     @Override
-    public void reject(long ticket, Span comeBackAfter) {
+    public void reject(long ticket, Span comeBackAfter, Refusal why) {
         Taken taken = statements.get(ticket);
+        counters.add(switch (why) {
+            case OVERDUE -> Counter.REFUSED_OVERDUE;
+            case SHED -> Counter.REFUSED_SHED;
+            case HOLD_FULL -> Counter.REFUSED_HOLD_FULL;
+            case NO_ATTEMPT_LEFT -> Counter.REFUSED_NO_ATTEMPT_LEFT;
+        });
+        if (taken.life != null) {
+            lives.step(taken.life, why.name());
+        }
         long millis = comeBackAfter.micros() / 1_000;
         turn.act(() -> settle(taken, Pg.TOO_MANY, "nothing was done, try again",
             millis > 0 ? "" + millis : null));
@@ -239,12 +280,18 @@
     @Override
     public void abort(long ticket) {
         Taken taken = statements.get(ticket);
+        counters.add(Counter.FAILED_EFFECT_UNKNOWN);
         turn.act(() -> settle(taken, Pg.UNKNOWN_EFFECT, "the statement may or may not have had an effect",
             null));
     }
 
     @Override
     public void poll(String node) {
+        counters.add(Counter.POLL_SENT);
+        if (!absent.contains(node)) {
+            looked = true;
+            firstLook.add(node);
+        }
         turn.act(() -> start(new Poll(node), node, pollTimeout));
     }
 
@@ -333,6 +380,11 @@
             this.sendBy = sendBy.earlier(turn.now().plus(pollTimeout).plus(GUARD));
         }
 
+        @Override
+        Descriptors.Use use() {
+            return Descriptors.Use.EXECUTION;
+        }
+
         @Override
         boolean isTooLate(Moment now) {
             // Where executions may not be called off, one that waits for its connection outlives its statement.
@@ -384,6 +436,11 @@
             this.node = node;
         }
 
+        @Override
+        Descriptors.Use use() {
+            return Descriptors.Use.POLL;
+        }
+
         @Override
         void write(ByteBuf out) {
             Write.query(out, gauges.names.isEmpty() ? "SELECT 1" : "SHOW gauges");
@@ -391,7 +448,7 @@
 
         @Override
         void answered(Answer answer) {
-            links.apply(node).looked();
+            firstLook.remove(node);
             Ending ending = ending(answer);
             Role role = role(answer);
             double[] values = gauges.values(answer.text());
@@ -406,7 +463,7 @@
 
         @Override
         void lost(Ending ending) {
-            links.apply(node).looked();
+            firstLook.remove(node);
             turn.hear(now -> core.polled(now, node, ending, Role.UNTOLD, Moment.LONG_AGO, Double.NaN,
                 Double.NaN));
         }
@@ -420,6 +477,11 @@
             this.node = node;
         }
 
+        @Override
+        Descriptors.Use use() {
+            return Descriptors.Use.POLL;
+        }
+
         @Override
         void write(ByteBuf out) {
             Write.query(out, Note.query(changeTable));
@@ -443,6 +505,11 @@
 
     /** Opens a connection, and has it answer something. */
     private final class Opening extends Job {
+        @Override
+        Descriptors.Use use() {
+            return Descriptors.Use.WARM_UP;
+        }
+
         @Override
         void write(ByteBuf out) {
             Write.query(out, "SELECT 1");
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.log.Counter;
 import basaltlever.log.Event;
 import basaltlever.log.Lives;
 import basaltlever.pg.Arrivals;
@@ -56,6 +57,7 @@
     /** After an error in the extended protocol all is skipped up to the next Sync. */
     private boolean skipping;
     private boolean asked;
+    private final boolean admitted;
     private boolean lingers;
     /** Whether the rest of what was read has its turn yet to come. */
     private boolean goesOn;
@@ -64,7 +66,9 @@
     /** Since when a message has been under way; never where none is. */
     private Moment partSince = Moment.NEVER;
 
-    ClientConnection(Clients clients, Budget budget) {
+    /** One that is not admitted is told so at once. */
+    ClientConnection(Clients clients, Budget budget, boolean admitted) {
+        this.admitted = admitted;
         this.clients = clients;
         this.budget = budget;
         frames = new Frames(LARGEST_START, budget);
@@ -75,7 +79,11 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
-        clients.descriptors().unasked(this);
+        if (admitted) {
+            clients.descriptors().unasked(this);
+        } else {
+            added.channel().eventLoop().execute(this::turnAway);
+        }
     }
 
     @Override
@@ -161,8 +169,10 @@
     void endOverdue(Moment now) {
         boolean overdue = now.since(asked ? partSince : since).isLongerThan(PATIENCE);
         if (overdue && state == State.READY && frames.size() == 0) {
+            clients.counters().add(Counter.CLIENT_CLOSED_SILENT);
             endSending();
         } else if (overdue && (state == State.STARTING || state == State.READY)) {
+            clients.counters().add(Counter.CLIENT_CLOSED_SILENT);
             refuse(new PgFault(Pg.VIOLATION, "a message did not come whole in time"));
         }
     }
@@ -175,6 +185,7 @@
     private void refuse(PgFault fault) {
         if (state != State.CLOSED) {
             clients.spoilt(context.channel().remoteAddress(), fault.getMessage());
+            clients.counters().add(Counter.CLIENT_CLOSED_PROTOCOL_ERROR);
             ByteBuf out = context.alloc().buffer();
             Write.error(out, "FATAL", fault.code, fault.getMessage(), null);
             linger(context.writeAndFlush(out));
@@ -257,6 +268,7 @@
             Query query = Query.read(text);
             int workload = clients.workload(query);
             if (clients.refusesAll()) {
+                clients.counters().add(Counter.REFUSED_SHUTDOWN);
                 throw new PgFault(Pg.TOO_MANY, "this router ends, and nothing was done");
             }
             state = State.BUSY;
@@ -337,15 +349,29 @@
 
     /** Between statements a client's connection may be closed; what crosses that, the client sends again. */
     @Override
-    public void closeIdle() {
-        // Part of a first statement is none yet; part of a later one is its client's, who waits here.
-        if (state == State.CLOSED || !asked) {
-            close();
+    public void closeIdle(Counter why) {
+        if (state == State.CLOSED) {
+            clients.counters().add(why);
+            context.close();
+        } else if (!asked) {
+            turnAway();
         } else if (frames.size() == 0) {
+            // Part of a statement is its client's, who waits here.
+            clients.counters().add(why);
             endSending();
         }
     }
 
+    /** Its statement, if one is on its way, is refused before it is read. */
+    private void turnAway() {
+        if (state != State.CLOSED) {
+            clients.counters().add(Counter.CLIENT_TURNED_AWAY);
+            ByteBuf out = context.alloc().buffer();
+            Write.error(out, "FATAL", Pg.TOO_MANY, "too many connections are open", null);
+            linger(context.writeAndFlush(out));
+        }
+    }
+
     /** Whatever was answered is on its way; nothing more is taken. */
     void endSending() {
         if (state != State.CLOSED) {
@@ -401,6 +427,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext in) {
+        if (state != State.CLOSED) {
+            clients.counters().add(Counter.CLIENT_CLOSED_BY_PEER);
+        }
         gone();
         clients.closed(this, lingers);
     }
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -2,6 +2,8 @@
 
 import basaltlever.config.Places;
 import basaltlever.core.Core;
+import basaltlever.log.Counter;
+import basaltlever.log.Counters;
 import basaltlever.log.Lives;
 import basaltlever.log.Tally;
 import basaltlever.pg.Budget;
@@ -54,16 +56,22 @@
         bad.note(client, what);
     }
 
+    Counters counters() {
+        return turn.counters();
+    }
+
     Descriptors descriptors() {
         return descriptors;
     }
 
-    /** A new connection, or null where there is no room for one. */
+    /** A new connection, which may be one that is turned away in words; null where there is no room for either. */
     ClientConnection admit() {
-        if (!descriptors.admitsClient()) {
+        boolean admitted = descriptors.admitsClient();
+        if (!admitted && !descriptors.admitsToTurnAway()) {
+            counters().add(Counter.CLIENT_CLOSED_UNREAD);
             return null;
         }
-        ClientConnection connection = new ClientConnection(this, budget);
+        ClientConnection connection = new ClientConnection(this, budget, admitted);
         connections.add(connection);
         return connection;
     }
@@ -150,7 +158,7 @@
         closesIdle = true;
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (!connection.isBusy() && connection.hasAsked()) {
-                connection.closeIdle();
+                connection.closeIdle(Counter.CLIENT_CLOSED_SHUTDOWN);
             }
         }
     }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -11,6 +11,7 @@
 import basaltlever.core.Core;
 import basaltlever.discovery.ListFault;
 import basaltlever.discovery.MemberList;
+import basaltlever.discovery.MemberUpdate;
 import basaltlever.fleet.Fleet;
 import basaltlever.fleet.Papers;
 import basaltlever.config.Terms;
@@ -71,14 +72,18 @@
     private static final Span SWEEPS = Span.ofMillis(200);
     private static final Span READS = Span.ofMillis(1_000);
     private static final int READ_IN = 3;
+    private static final Span REPORTS = Span.ofMillis(5_000);
     private static final Span LONGEST_LOOK = Span.ofMillis(1_000);
     /** For the first list to come; a process is held to what discovery knows before it has asked. */
     private static final Span LONGEST_CALL = Span.ofMillis(2_000);
     private static final int NODES_A_TURN = 32;
     private static final Span LONGEST_EXPORT = Span.ofMillis(1_000);
     private static final Span LOOK_AGAIN = Span.ofMillis(10);
-    /** Sockets of the loop, the listener and discovery, and files that the runtime opens late. */
-    private static final int RESERVED = 24;
+    /**
+     * Sockets of the loop, the listener and discovery, files that the runtime opens late, and as many connections as may
+     * be accepted in one look before any of them is admitted.
+     */
+    private static final int RESERVED = 40;
     private static final int PAGE = 8_192;
     private static final int CHUNK_ORDER = 6;
     private static final int BACKLOG = 512;
@@ -162,7 +167,10 @@
                 + bound.cause().getMessage()));
         }
         listener = bound.channel();
-        loop.submit(() -> enter(Phase.SERVING)).sync();
+        loop.submit(() -> {
+            carrier.serves();
+            enter(Phase.SERVING);
+        }).sync();
         Event.SERVES.log(LOG, Level.INFO, "", start.name(), address());
         if (keeper != null) {
             keeper.keeps();
@@ -178,6 +186,7 @@
         OperatorFile nextOperator;
         try {
             next = StartFile.read(file);
+            next.releaseKnown();
             nextOperator = operator == null ? null : OperatorFile.read(operator.path());
         } catch (StartFault fault) {
             Event.RELOAD_REFUSED.log(LOG, Level.ERROR, "all stays as it was", fault.getMessage());
@@ -317,8 +326,7 @@
      */
     private void lookAround(Promise<Void> looked, long since) {
         long took = (System.nanoTime() - since) / 1_000;
-        boolean seen = !links.isEmpty() && links.values().stream().noneMatch(NodeLink::isAwaited)
-            || took > LONGEST_LOOK.micros();
+        boolean seen = carrier.hasLookedAround() || took > LONGEST_LOOK.micros();
         if (seen && !watch.isFirst() || took > LONGEST_CALL.micros()) {
             looked.setSuccess(null);
         } else {
@@ -390,7 +398,7 @@
         // Half of what buffers may take: the other half is for what is being read and written right now.
         Budget budget = new Budget(PlatformDependent.maxDirectMemory() / 2);
         reserved = inUse() + RESERVED;
-        descriptors = new Descriptors(start.sockets() - reserved);
+        descriptors = new Descriptors(start.sockets() - reserved, this::afterNextLook);
         outwards = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, buffers);
         connectWithin(values.connectTimeout());
@@ -420,6 +428,12 @@
         carrier.serve(core, watch::start);
         every(SWEEPS, "sweeping", this::sweep);
         every(READS, "reading tables", this::readTables);
+        every(REPORTS, "reporting counters", this::report);
+    }
+
+    /** By way of a task: what is put behind this iteration from behind it would run in it. */
+    private void afterNextLook(Runnable task) {
+        loop.executeAfterEventLoopIteration(() -> loop.execute(task));
     }
 
     /** A task that is repeated would never run again after one fault. */
@@ -440,6 +454,11 @@
         clients.sweep();
     }
 
+    private void report() {
+        turn.counters().report();
+        descriptors.report();
+    }
+
     /** Each member's table every third time: all tell the same, so a group is asked about once a second. */
     private void readTables() {
         reads++;
@@ -462,11 +481,11 @@
     }
 
     private void begin(Recollection recollection) {
-        list.recalls(recollection, node -> links.get(node).isAbsent());
+        list.recalls(recollection, carrier::isAbsent);
         turn.hear(now -> {
             try {
-                if (start.known().containsKey("instances")) {
-                    list.take(now, start.known(), false);
+                if (start.hasKnown()) {
+                    list.take(now, MemberUpdate.of(start.releaseKnown()), false);
                     return;
                 }
             } catch (ListFault fault) {
@@ -569,6 +588,7 @@
             end();
             return;
         }
+        report();
         clients.refuseAll();
         turn.hear(carrier::answerAll);
         turn.hear(now -> turn.act(() -> {
