A start while the machine's clock is wrong: positions look no newer, servers no warmer

Need: net.Clock is anchored once, at a start that may fall into a step of the wall clock, while positions, commits and starts of servers are Unix times told by others. Change: time.ClockOffset takes what primaries report as their position for the present (two reports that agree, or all of 5 s), and turns positions, commits and starts to the safe side; `clock_off` logs it.

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -267,6 +267,16 @@
         }
     }
 
+    /** Positions that are known were dated by a clock that was wrong: each has to be proven anew. */
+    public void forgetPositions(Moment at) {
+        now = at;
+        for (Node node : nodes) {
+            if (node != null) {
+                node.position = Moment.LONG_AGO;
+            }
+        }
+    }
+
     /** To the log of whoever is on call, where it has changed. */
     public void reportWatched() {
         int listed = 0;
--- a/router/src/main/java/basaltlever/core/Core.java
+++ b/router/src/main/java/basaltlever/core/Core.java
@@ -82,6 +82,11 @@
         }
     }
 
+    /** What was learned of members' positions came by a clock that was wrong. */
+    public void forgetPositions(Moment now) {
+        balance.forgetPositions(now);
+    }
+
     /** Tells on-call how much of the list is polled regularly, where that has changed. */
     public void reportWatched() {
         balance.reportWatched();
--- a/router/src/main/java/basaltlever/discovery/MemberList.java
+++ b/router/src/main/java/basaltlever/discovery/MemberList.java
@@ -8,6 +8,7 @@
 import basaltlever.gateway.Listing;
 import basaltlever.log.Event;
 import basaltlever.log.Tally;
+import basaltlever.time.ClockOffset;
 import basaltlever.time.Moment;
 import basaltlever.view.Known;
 import basaltlever.view.NodeView;
@@ -43,6 +44,7 @@
     private final Map<String, MemberEntry> current = new LinkedHashMap<>();
     private long applied = -1;
     private Tally heldOff;
+    private ClockOffset clockOffset = new ClockOffset();
     private long generation;
     private Recollection recollection = Recollection.NONE;
     private Consumer<String> absent = node -> { };
@@ -197,7 +199,23 @@
     private void tell(Moment now, MemberEntry entry, Listing listing, int group) {
         core.listed(now, entry.id(), listing, group, entry.zone() == null ? -1 : zones.indexOf(entry.zone()),
             entry.weight(), entry.startedAtMillis() == 0 ? Moment.LONG_AGO
-                : new Moment(entry.startedAtMillis() * 1_000));
+                : clockOffset.started(new Moment(entry.startedAtMillis() * 1_000)));
+    }
+
+    /** Starts are told in the servers' time, which may not be that of this process. */
+    public void startsBy(ClockOffset offset) {
+        clockOffset = offset;
+    }
+
+    /** What is known of the clock has changed: members' starts are told to the decisions again. */
+    public void tellStarts(Moment now) {
+        core.listBegins();
+        for (MemberEntry entry : current.values()) {
+            if (entry.startedAtMillis() != 0) {
+                tell(now, entry, entry.listing(), entry.group());
+            }
+        }
+        core.listEnds(now, false, false);
     }
 
     /** True where what an earlier process knew of the member keeps it from being used. */
--- a/router/src/main/java/basaltlever/log/Event.java
+++ b/router/src/main/java/basaltlever/log/Event.java
@@ -31,6 +31,7 @@
     CLIENT_ENDED("client_ended", "client", "state", "bytes"),
     COUNTERS("counters", "grown"),
     DESCRIPTORS("descriptors", "allowed", "open", "clients", "resting", "lingering", "nodes", "idle_nodes"),
+    CLOCK_OFF("clock_off", "behind_ms", "ahead_ms"),
     WATCHED("watched", "groups", "members", "listed"),
     TURN_SLOW("turn_slow", "took_ms", "cause", "more"),
     FLEET_JOINS("fleet_joins", "cause"),
--- a/router/src/main/java/basaltlever/net/Carrier.java
+++ b/router/src/main/java/basaltlever/net/Carrier.java
@@ -16,6 +16,7 @@
 import basaltlever.pg.Budget;
 import basaltlever.pg.Pg;
 import basaltlever.pg.Write;
+import basaltlever.time.ClockOffset;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.buffer.ByteBuf;
@@ -51,6 +52,9 @@
     private final Budget budget;
     private final Lives lives;
     private final Counters counters;
+    private final ClockOffset clockOffset;
+    /** What was told in the servers' time is to be taken in again. */
+    private Consumer<Moment> clockMoved = now -> { };
     /** What is kept to, by number: what was decided under another is not sent. */
     private ToIntFunction<Moment> stance = now -> 0;
     private final LongObjectHashMap<Taken> statements = new LongObjectHashMap<>();
@@ -80,6 +84,7 @@
         this.budget = budget;
         this.lives = lives;
         counters = turn.counters();
+        clockOffset = turn.clockOffset();
     }
 
     void serve(Core<String> with, Runnable watchStarts) {
@@ -109,6 +114,10 @@
         pollTimeout = within;
     }
 
+    void onClockMoved(Consumer<Moment> then) {
+        clockMoved = then;
+    }
+
     void keepsTo(ToIntFunction<Moment> numbered) {
         stance = numbered;
     }
@@ -439,7 +448,7 @@
             }
             guarded(taken, () -> {
                 if (core.ended(now, taken.ticket, number, ending, role(answer),
-                    gauges.afterMillis(answer.position), false)) {
+                    clockOffset.position(gauges.afterMillis(answer.position)), false)) {
                     taken.answered = true;
                     var row = answer.takeRow();
                     turn.act(() -> taken.client.answer(row));
@@ -473,13 +482,24 @@
             Ending ending = ending(answer);
             Role role = role(answer);
             double[] values = gauges.values(answer.text());
-            Moment told = gauges.afterMillis(answer.position);
+            Moment told = gauges.position < 0 ? gauges.afterMillis(answer.position)
+                : gauges.position(Math.nextDown(gauges.value(values, gauges.position)));
+            Role claimed = gauges.primary < 0 ? role : gauges.role(gauges.value(values, gauges.primary));
             answer.release();
-            turn.hear(now -> core.polled(now, node, ending,
-                gauges.primary < 0 ? role : gauges.role(gauges.value(values, gauges.primary)),
-                gauges.position < 0 ? told
-                    : gauges.position(Math.nextDown(gauges.value(values, gauges.position))),
-                gauges.value(values, gauges.util), gauges.value(values, gauges.queue)));
+            turn.hear(now -> {
+                heedClock(now, claimed, told);
+                core.polled(now, node, ending, claimed, clockOffset.position(told), gauges.value(values, gauges.util),
+                    gauges.value(values, gauges.queue));
+            });
+        }
+
+        private void heedClock(Moment now, Role claimed, Moment told) {
+            if (claimed == Role.PRIMARY && told.isAfter(Moment.LONG_AGO) && clockOffset.primaryAt(now, told)) {
+                Event.CLOCK_OFF.log(LOG, Level.WARN, "", clockOffset.behind().micros() / 1_000,
+                    clockOffset.ahead().micros() / 1_000);
+                core.forgetPositions(now);
+                clockMoved.accept(now);
+            }
         }
 
         @Override
--- a/router/src/main/java/basaltlever/net/Clients.java
+++ b/router/src/main/java/basaltlever/net/Clients.java
@@ -104,7 +104,8 @@
             lives.step(taken.life, "taken");
             carrier.add(taken);
             carrier.guarded(taken, () -> core.taken(now, taken.ticket, workload, query.group, query.session,
-                taken.owedBy, query.after == 0 ? Moment.LONG_AGO : new Moment(query.after * 1_000),
+                taken.owedBy, query.after == 0 ? Moment.LONG_AGO
+                    : turn.clockOffset().committed(new Moment(query.after * 1_000)),
                 taken.text.capacity()));
         });
         return taken;
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -424,6 +424,8 @@
             list.agreeBy(roll, clock::now);
         }
         watch = new Watch(outwards, start.discovery(), turn, list, core);
+        list.startsBy(turn.clockOffset());
+        carrier.onClockMoved(list::tellStarts);
         clients.serve(core, carrier);
         carrier.serve(core, watch::start);
         every(SWEEPS, "sweeping", this::sweep);
--- a/router/src/main/java/basaltlever/net/Turn.java
+++ b/router/src/main/java/basaltlever/net/Turn.java
@@ -4,6 +4,7 @@
 import basaltlever.log.Counters;
 import basaltlever.log.Event;
 import basaltlever.log.Tally;
+import basaltlever.time.ClockOffset;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.channel.SingleThreadEventLoop;
@@ -25,6 +26,7 @@
     private final SingleThreadEventLoop loop;
     private final Clock clock;
     private final Counters counters = new Counters();
+    private final ClockOffset clockOffset = new ClockOffset();
     /** A turn that takes longer than this is counted, and named in the log. */
     private static final Span SLOW = Span.ofMillis(20);
     private final Tally slowTurns;
@@ -157,6 +159,11 @@
         }
     }
 
+    /** How this process's clock stands to the servers'. */
+    ClockOffset clockOffset() {
+        return clockOffset;
+    }
+
     /** What this router counts. */
     Counters counters() {
         return counters;
