--- a/lab/src/main/java/basaltlever/lab/Main.java
+++ b/lab/src/main/java/basaltlever/lab/Main.java
@@ -1,5 +1,6 @@
 package basaltlever.lab;
 
+import basaltlever.lab.endtoend.Soak;
 import basaltlever.lab.fleet.FleetScale;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -38,13 +39,14 @@
         FleetScale fleetScale = new FleetScale();
         Demo demo = new Demo();
         Archive archive = new Archive();
+        Soak soak = new Soak();
         BareRelay bare = new BareRelay();
         JCommander line = JCommander.newBuilder().programName("basaltlever-lab")
             .addCommand("kill-state", killState).addCommand("write-views", writer)
             .addCommand("restart-paired", restartPaired).addCommand("view-cost", viewCost)
             .addCommand("run", run).addCommand("list", list).addCommand("compare", compare)
             .addCommand("paired-plays", pairedPlays).addCommand("fleet-scale", fleetScale)
-            .addCommand("demo", demo).addCommand("archive", archive).addCommand("bare", bare)
+            .addCommand("demo", demo).addCommand("archive", archive).addCommand("soak", soak).addCommand("bare", bare)
             .addCommand("help", new Help()).build();
         try {
             line.parse(args);
@@ -72,6 +74,7 @@
             }
             case "bare" -> basaltlever.lab.sockets.Bare.run(bare.port, bare.to);
             case "demo" -> System.exit(demo.run());
+            case "soak" -> System.exit(soak.run(figures -> Figures.tell(figures, null)));
             case "archive" -> System.exit(archive.run());
             case "help" -> line.usage();
             default -> {
--- a/lab/src/main/java/basaltlever/lab/Run.java
+++ b/lab/src/main/java/basaltlever/lab/Run.java
@@ -2,8 +2,8 @@
 
 import basaltlever.config.StartFault;
 import basaltlever.lab.fleet.AgreementRun;
-import basaltlever.lab.manyservers.DayOptions;
-import basaltlever.lab.manyservers.ManyServers;
+import basaltlever.lab.endtoend.DayOptions;
+import basaltlever.lab.endtoend.ManyServers;
 import basaltlever.lab.report.Report;
 import basaltlever.lab.scenario.Scenario;
 import basaltlever.lab.sockets.SocketRun;
--- a/lab/src/main/java/basaltlever/lab/manyservers/ClientLoad.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ClientLoad.java
@@ -1,7 +1,7 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
-import basaltlever.lab.manyservers.StatementLedger.Entry;
-import basaltlever.lab.manyservers.StatementLedger.Outcome;
+import basaltlever.lab.endtoend.StatementLedger.Entry;
+import basaltlever.lab.endtoend.StatementLedger.Outcome;
 import basaltlever.pg.Answer;
 import basaltlever.pg.Budget;
 import basaltlever.pg.Frames;
@@ -37,20 +37,23 @@
     private final DayOptions day;
     private final int router;
     private final InetSocketAddress address;
+    private final DaySettings settings;
     private final DayClock clock;
     private final StatementLedger ledger;
     private final SplittableRandom random;
     private final ArrayDeque<Connection> resting = new ArrayDeque<>();
     private boolean over;
+    private boolean onlyOpen;
     private int open;
     private long sequence;
 
-    ClientLoad(EventLoop loop, DayOptions day, int router, InetSocketAddress address, DayClock clock,
+    ClientLoad(EventLoop loop, DayOptions day, DaySettings settings, int router, InetSocketAddress address, DayClock clock,
                StatementLedger ledger, SplittableRandom random) {
         this.loop = loop;
         this.day = day;
         this.router = router;
         this.address = address;
+        this.settings = settings;
         this.clock = clock;
         this.ledger = ledger;
         this.random = random;
@@ -64,6 +67,20 @@
         over = true;
     }
 
+    /** Its router has been told to end: clients go on where they are connected, and open no more connections. */
+    void onlyOpenConnections(boolean only) {
+        onlyOpen = only;
+    }
+
+    /** Clients that connect, and say nothing. */
+    void crowd(int clients) {
+        for (int i = 0; i < clients; i++) {
+            Channel idle = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter()).connect(address).channel();
+            loop.schedule(() -> idle.close(), 3_000 + random.nextInt(2_000), TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Takes over the numbering of a load whose router was replaced. */
     void continues(ClientLoad former) {
         sequence = former.sequence;
@@ -91,6 +108,12 @@
     private void send() {
         Connection connection = random.nextDouble() < ON_NEW_CONNECTION ? null : resting.pollLast();
         int count = random.nextDouble() < IN_PAIRS ? 2 : 1;
+        if (onlyOpen) {
+            connection = connection == null ? resting.pollLast() : connection;
+            if (connection == null) {
+                return;
+            }
+        }
         if (connection == null) {
             connection = new Connection(random.nextDouble() < ON_NEW_CONNECTION);
         }
@@ -100,9 +123,7 @@
     }
 
     private Entry statement() {
-        double draw = random.nextDouble();
-        Workloads workload = draw < Workloads.VIEW.share ? Workloads.VIEW
-            : draw < Workloads.VIEW.share + Workloads.OWN_READ.share ? Workloads.OWN_READ : Workloads.POST;
+        StatementClass workload = settings.draw(random);
         String id = "r" + router + "x" + ++sequence;
         open++;
         return ledger.begins(id, workload, router, clock.nowMillis());
@@ -110,8 +131,8 @@
 
     private String text(Entry entry) {
         int group = random.nextInt(day.groups());
-        return "/* id=" + entry.id + ",c=" + entry.workload.key + ",d=" + entry.workload.deadlineMillis + ",cluster="
-            + group + (entry.workload == Workloads.OWN_READ ? ",after=" + (clock.nowMillis() - 5_000) : "")
+        return "/* id=" + entry.id + ",c=" + entry.workload.key() + ",d=" + entry.workload.deadlineMillis() + ",cluster="
+            + group + (entry.workload.read().equals("session") ? ",after=" + (clock.nowMillis() - 5_000) : "")
             + " */ SELECT doc FROM items WHERE id = 'k'";
     }
 
@@ -167,7 +188,7 @@
             if (random.nextDouble() < day.leaveShare()) {
                 loop.schedule(this::leave, random.nextInt(60), TimeUnit.MILLISECONDS);
             }
-            loop.schedule(() -> giveUp(entry), entry.workload.deadlineMillis + GIVES_UP_BEHIND_MILLIS,
+            loop.schedule(() -> giveUp(entry), entry.workload.deadlineMillis() + GIVES_UP_BEHIND_MILLIS,
                 TimeUnit.MILLISECONDS);
         }
 
--- a/lab/src/main/java/basaltlever/lab/manyservers/DayClock.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/DayClock.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 /** Unix milliseconds as of the start of a day, moved on by the monotonic clock: steps of the wall clock change nothing. */
 final class DayClock {
--- a/lab/src/main/java/basaltlever/lab/manyservers/DayOptions.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/DayOptions.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/lab/src/main/java/basaltlever/lab/manyservers/DiscoveryService.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/DiscoveryService.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -40,12 +40,15 @@
     private final long[] bytesWritten;
     private final int[] calls;
     private int writing;
+    private boolean down;
+    private int capacity;
     private long version = 1;
     private Channel listener;
 
     DiscoveryService(EventLoop loop, DayOptions day, DayClock clock, ServerFarm farm) {
         this.loop = loop;
         this.day = day;
+        capacity = day.discoveryCapacity();
         this.clock = clock;
         this.farm = farm;
         bytesWritten = new long[day.routers()];
@@ -68,7 +71,7 @@
     private void accept(Channel channel) {
         int router = (((InetSocketAddress) channel.localAddress()).getAddress().getAddress()[1] & 0xff)
             - ServerFarm.FIRST_NETWORK;
-        if (router < 0 || router >= calls.length) {
+        if (router < 0 || router >= calls.length || down) {
             channel.close();
         } else {
             channel.pipeline().addLast(new Watch(router, channel));
@@ -96,6 +99,19 @@
         new ArrayList<>(watches).forEach(watch -> watch.tellAfter(version - 1));
     }
 
+    /** Ends all watches and answers none, for a while. */
+    void isDownFor(long millis) {
+        down = true;
+        new ArrayList<>(watches).forEach(watch -> watch.channel.close());
+        loop.schedule(() -> down = false, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Calls are answered one after the other for a while, and each takes its time. */
+    void isCrowdedFor(long millis) {
+        capacity = 1;
+        loop.schedule(() -> capacity = day.discoveryCapacity(), millis, TimeUnit.MILLISECONDS);
+    }
+
     /** Writes the whole list to all watches, so many times in a row. */
     void repeatWholeList(int times) {
         for (Watch watch : new ArrayList<>(watches)) {
@@ -168,7 +184,7 @@
             answered = true;
             calls[router]++;
             since = Long.parseLong(matcher.group(1));
-            if (writing < day.discoveryCapacity()) {
+            if (writing < capacity) {
                 begin();
             } else {
                 crowd.add(this);
--- a/lab/src/main/java/basaltlever/lab/manyservers/ManyServers.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ManyServers.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/lab/src/main/java/basaltlever/lab/manyservers/ManyServersDay.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ManyServersDay.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import basaltlever.lab.sockets.Ports;
 import io.netty.channel.EventLoop;
@@ -31,6 +31,7 @@
     private static final Pattern SLOW_TURN = Pattern.compile("event=turn_slow took_ms=(\\d+)");
 
     private final DayOptions day;
+    private final DaySettings settings = DaySettings.usual();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final SplittableRandom random;
@@ -48,7 +49,7 @@
     public ManyServersDay(DayOptions day, long seed, Path jar) throws Exception {
         this.day = day;
         random = new SplittableRandom(seed);
-        farm = new ServerFarm(loop, day, clock, ledger, random.split());
+        farm = new ServerFarm(loop, day, settings, clock, ledger, random.split());
         farm.listen();
         discovery = new DiscoveryService(loop, day, clock, farm);
         discovery.listen();
@@ -67,7 +68,7 @@
             + process.address().getPort() + "\",\"discovery\":\"" + discovery.address(router) + "\",\"seed\":\""
             + Long.toHexString(random.nextLong()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
             + day.sockets() + "},\"known\":" + discovery.wholeList(router) + ",\"settings\":"
-            + Workloads.settings(router, day.routers()) + "}");
+            + settings.text(router, day.routers()) + "}");
     }
 
     /** Plays it to its end; the figures are means over the routers where they are about one router's need. */
@@ -99,7 +100,7 @@
         }
         for (int r = 0; r < routers.size(); r++) {
             routers.get(r).awaitReady(since);
-            clients.add(new ClientLoad(loop, day, r, routers.get(r).address(), clock, ledger, random.split()));
+            clients.add(new ClientLoad(loop, day, settings, r, routers.get(r).address(), clock, ledger, random.split()));
         }
     }
 
@@ -156,7 +157,7 @@
             long since = System.nanoTime();
             routers.get(r).restart();
             routers.get(r).awaitReady(since);
-            ClientLoad next = new ClientLoad(loop, day, r, routers.get(r).address(), clock, ledger, random.split());
+            ClientLoad next = new ClientLoad(loop, day, settings, r, routers.get(r).address(), clock, ledger, random.split());
             // Ids go on where the former load's would have: each router's are its own.
             loop.submit(() -> {
                 next.continues(load);
--- a/lab/src/main/java/basaltlever/lab/manyservers/RouterUnderTest.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/RouterUnderTest.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import java.io.File;
 import java.io.IOException;
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +25,8 @@
     private final List<String> command = new ArrayList<>();
     private final InetSocketAddress address;
     private final Path log;
+    private final Path startFilePath;
+    private FaultShim shim;
     private Process process;
     private int descriptorsMost;
     private long memoryMostKb;
@@ -42,11 +45,52 @@
         command.addAll(jar != null ? List.of("-jar", jar.toString())
             : List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main"));
         command.addAll(List.of("serve", "--file", file.toString()));
+        startFilePath = file;
+    }
+
+    /** Runs under a shim from its next start on. */
+    void runUnder(FaultShim next) {
+        shim = next;
+    }
+
+    FaultShim shim() {
+        return shim;
+    }
+
+    /** Keeps what it learns in the folder from its next start on. */
+    void keepsIn(Path folder) throws IOException {
+        Path operator = Files.writeString(startFilePath.resolveSibling(startFilePath.getFileName() + ".ini"),
+            "[state]\nfolder = " + folder + "\nperiod_ms = 500\n");
+        command.addAll(List.of("--operator", operator.toString()));
+    }
+
+    /** In one piece, as an operator would replace it. */
+    void startFile(String text) throws IOException {
+        Path next = Files.writeString(startFilePath.resolveSibling(startFilePath.getFileName() + ".new"), text);
+        Files.move(next, startFilePath, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+    }
+
+    boolean endsWithin(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** SIGKILL, if it still runs. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
     }
 
     void start() throws IOException {
-        process = new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        if (shim != null) {
+            builder.environment().putAll(shim.environment());
+        }
+        process = builder.start();
     }
 
     InetSocketAddress address() {
--- a/lab/src/main/java/basaltlever/lab/manyservers/ServerFarm.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ServerFarm.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import basaltlever.lab.sockets.Rows;
 import basaltlever.pg.Budget;
@@ -34,12 +34,14 @@
     /** Router 0 reaches its servers in 127.16.0.0/16, router 1 in 127.17.0.0/16 and so on. */
     static final int FIRST_NETWORK = 16;
     private static final Pattern ID = Pattern.compile("[ *,]id=([a-z0-9]+)");
+    private static final Pattern DEADLINE = Pattern.compile("[ *,]d=(\\d+)");
     private static final int LARGEST_QUERY = 1 << 18;
     private static final int BACKLOG = 4_096;
     /** What the list says is told once it is written, with what the rules leave for clocks. */
     private static final long CLOCK_SLACK_MILLIS = 50;
 
     private final EventLoop loop;
+    private final DaySettings settings;
     private final DayClock clock;
     private final StatementLedger ledger;
     private final SplittableRandom random;
@@ -52,8 +54,9 @@
     private final long[][] toldGoneAtMillis;
     private Channel listener;
 
-    ServerFarm(EventLoop loop, DayOptions day, DayClock clock, StatementLedger ledger, SplittableRandom random) {
+    ServerFarm(EventLoop loop, DayOptions day, DaySettings settings, DayClock clock, StatementLedger ledger, SplittableRandom random) {
         this.loop = loop;
+        this.settings = settings;
         this.clock = clock;
         this.ledger = ledger;
         this.random = random;
@@ -181,45 +184,56 @@
 
         private void query(ChannelHandlerContext context, String text) {
             Matcher id = ID.matcher(text);
-            if (text.equals("SHOW gauges")) {
+            if (server.hangsUntilMillis > nowMillis() && text.equals("SHOW gauges")) {
+                polls[router]++;
+            } else if (text.equals("SHOW gauges")) {
                 polls[router]++;
                 server.polled(nowMillis());
                 reply(context, out -> Rows.row(out, String.format(Locale.ROOT, "x0=%.3f,x1=%d,utilization=0.3",
                     nowMillis() / 1e3, server.primary ? 1 : 0)));
             } else if (text.startsWith("/*") && id.find()) {
-                statement(context, ledger.find(id.group(1)));
+                statement(context, ledger.find(id.group(1)), text);
             } else {
                 reply(context, Write::empty);
             }
         }
 
-        private void statement(ChannelHandlerContext context, StatementLedger.Entry entry) {
+        private void statement(ChannelHandlerContext context, StatementLedger.Entry entry, String text) {
             long now = nowMillis();
             if (entry == null) {
                 reply(context, out -> Write.error(out, "ERROR", "53300", "nobody waits for this", null));
                 return;
             }
             ledger.attempt(entry, now);
+            Matcher told = DEADLINE.matcher(text);
+            if (told.find()) {
+                ledger.deadline(entry, Long.parseLong(told.group(1)), now);
+            }
             server.statements++;
-            long told = toldGoneAtMillis[router][server.index];
-            if (told > 0 && now > told + Workloads.DRAIN_GRACE_MILLIS + CLOCK_SLACK_MILLIS) {
-                ledger.breaks("drain_late", entry, server.id() + " got an attempt " + (now - told)
+            long toldAt = toldGoneAtMillis[router][server.index];
+            if (toldAt > 0 && now > toldAt + settings.drainGraceMillis() + CLOCK_SLACK_MILLIS) {
+                ledger.breaks("drain_late", entry, server.id() + " got an attempt " + (now - toldAt)
                     + " ms after its router was told that it is " + server.lifecycle.key);
             }
-            if (server.takesWhileCold(now, capacityPerSecond)) {
+            if (server.takesWhileCold(now, capacityPerSecond, settings)) {
                 ledger.coldToppled();
             }
-            if (!entry.workload.repeatable && !server.primary) {
+            if (entry.workload.isWrite() && !server.primary) {
                 reply(context, out -> Write.error(out, "ERROR", "25006", "no primary", null));
                 return;
             }
-            double work = -Math.log(1 - random.nextDouble()) * entry.workload.workMillis;
+            // What a closed connection carried may run all the same.
+            ledger.runs(entry, now);
+            double work = -Math.log(1 - random.nextDouble()) * entry.workload.workMillis();
             loop.schedule(() -> serve(context, entry), (long) work, TimeUnit.MILLISECONDS);
         }
 
         private void serve(ChannelHandlerContext context, StatementLedger.Entry entry) {
-            // What a closed connection carried may have run all the same.
-            ledger.ran(entry);
+            long hangs = server.hangsUntilMillis - nowMillis();
+            if (hangs > 0) {
+                loop.schedule(() -> serve(context, entry), hangs, TimeUnit.MILLISECONDS);
+                return;
+            }
             reply(context, out -> Rows.row(out, entry.id));
         }
 
--- a/lab/src/main/java/basaltlever/lab/manyservers/SimulatedServer.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/SimulatedServer.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 /** One database server of the day: its place in a group, its role and what the list says of it. */
 final class SimulatedServer {
@@ -29,6 +29,8 @@
     private double coldLevel;
     private long coldLevelAtMillis;
     boolean toppled;
+    /** Takes statements and answers none, up to then. */
+    long hangsUntilMillis;
     /** Polls and statements that it got in the second under way, and the most in any second. */
     private long second;
     private int pollsInSecond;
@@ -68,14 +70,14 @@
      * Counts one statement against the budget of a server in slow start; true where this one topples it. The
      * level drains at the rate that the rule allows.
      */
-    boolean takesWhileCold(long nowMillis, double capacityPerSecond) {
+    boolean takesWhileCold(long nowMillis, double capacityPerSecond, DaySettings settings) {
         long age = nowMillis - startedAtMillis;
-        if (startedAtMillis == 0 || age >= Workloads.COLD_MILLIS || toppled) {
+        if (startedAtMillis == 0 || age >= settings.coldMillis() || toppled) {
             return false;
         }
-        double warmth = Workloads.COLD_FROM + (1 - Workloads.COLD_FROM) * age / Workloads.COLD_MILLIS;
-        double allowed = Workloads.FALL_MULTIPLE * warmth * capacityPerSecond * Workloads.FALL_MILLIS / 1_000;
-        coldLevel = Math.max(0, coldLevel - allowed * (nowMillis - coldLevelAtMillis) / Workloads.FALL_MILLIS) + 1;
+        double warmth = settings.coldFrom() + (1 - settings.coldFrom()) * age / settings.coldMillis();
+        double allowed = settings.fallMultiple() * warmth * capacityPerSecond * DaySettings.FALL_MILLIS / 1_000;
+        coldLevel = Math.max(0, coldLevel - allowed * (nowMillis - coldLevelAtMillis) / DaySettings.FALL_MILLIS) + 1;
         coldLevelAtMillis = nowMillis;
         double root = Math.sqrt(allowed);
         double budget = allowed < 30 ? allowed + 3 * root + 3 : allowed + 2 * root + 2;
--- a/lab/src/main/java/basaltlever/lab/manyservers/StatementLedger.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/StatementLedger.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,12 +17,13 @@
     /** An answer this much behind the deadline earns nothing; one still later is lost. */
     private static final long LATE_SLACK_MILLIS = 500;
     private static final long CLOCK_SLACK_MILLIS = 50;
+    private static final long DEADLINE_SLACK_MILLIS = 150;
     private static final int KEPT_FAILURES = 20;
 
     /** One statement from when its client wrote it. */
     static final class Entry {
         final String id;
-        final Workloads workload;
+        final StatementClass workload;
         final int router;
         final long sentAtMillis;
         Outcome outcome;
@@ -30,8 +31,9 @@
         long endedAtMillis;
         int attempts;
         int mayHaveRun;
+        long firstRunMillis;
 
-        Entry(String id, Workloads workload, int router, long sentAtMillis) {
+        Entry(String id, StatementClass workload, int router, long sentAtMillis) {
             this.id = id;
             this.workload = workload;
             this.router = router;
@@ -39,7 +41,7 @@
         }
 
         long deadlineMillis() {
-            return sentAtMillis + workload.deadlineMillis;
+            return sentAtMillis + workload.deadlineMillis();
         }
     }
 
@@ -55,12 +57,12 @@
         for (Outcome outcome : Outcome.values()) {
             outcomes.put(outcome, 0);
         }
-        for (String rule : new String[] {"lost", "drain_late", "doubled", "cold_toppled"}) {
+        for (String rule : new String[] {"lost", "drain_late", "doubled", "cold_toppled", "deadline"}) {
             broken.put(rule, 0);
         }
     }
 
-    Entry begins(String id, Workloads workload, int router, long nowMillis) {
+    Entry begins(String id, StatementClass workload, int router, long nowMillis) {
         Entry entry = new Entry(id, workload, router, nowMillis);
         entries.put(id, entry);
         statements++;
@@ -82,11 +84,25 @@
         }
     }
 
-    /** An attempt that may have had an effect. */
-    void ran(Entry entry) {
+    /** The time that an attempt tells its server, against what its client has left. */
+    void deadline(Entry entry, long toldMillis, long nowMillis) {
+        long left = entry.deadlineMillis() - nowMillis;
+        if (toldMillis > left + DEADLINE_SLACK_MILLIS) {
+            breaks("deadline", entry, "an attempt was given " + toldMillis + " ms where " + left + " were left");
+        }
+    }
+
+    /** A server has begun an attempt: from here on it may have an effect. */
+    void runs(Entry entry, long nowMillis) {
         entry.mayHaveRun++;
-        if (!entry.workload.repeatable && entry.mayHaveRun == 2) {
+        if (entry.mayHaveRun == 1) {
+            entry.firstRunMillis = nowMillis;
+        } else if (entry.workload.effect() == StatementClass.Effect.AT_MOST_ONCE) {
             breaks("doubled", entry, "run by two attempts");
+        } else if (entry.workload.effect() == StatementClass.Effect.DEDUPLICATED
+            && nowMillis - entry.firstRunMillis > entry.workload.windowMillis() + CLOCK_SLACK_MILLIS) {
+            breaks("doubled", entry, "run again " + (nowMillis - entry.firstRunMillis) + " ms later, outside its window of "
+                + entry.workload.windowMillis());
         }
     }
 
@@ -111,7 +127,8 @@
                 : "a new connection closed with no answer");
         } else if (outcome == Outcome.CLOSED_RESTING && entry.attempts > 0) {
             breaks("lost", entry, "read, then its connection closed with no answer");
-        } else if (outcome == Outcome.REFUSED && entry.mayHaveRun > 0 && !entry.workload.repeatable) {
+        } else if (outcome == Outcome.REFUSED && entry.mayHaveRun > 0
+            && entry.workload.effect() != StatementClass.Effect.IDEMPOTENT) {
             breaks("doubled", entry, "refused though it may have run");
         }
     }
@@ -124,7 +141,7 @@
     void breaks(String rule, Entry entry, String how) {
         broken.merge(rule, 1, Integer::sum);
         if (failures.size() < KEPT_FAILURES) {
-            failures.put(entry.id + " " + entry.workload.key + " n" + entry.router + " " + rule, how + "; attempts "
+            failures.put(entry.id + " " + entry.workload.key() + " n" + entry.router + " " + rule, how + "; attempts "
                 + entry.attempts);
         }
     }
--- a/lab/src/test/java/basaltlever/lab/manyservers/ManyServersTest.java
+++ b/lab/src/test/java/basaltlever/lab/endtoend/ManyServersTest.java
@@ -1,4 +1,4 @@
-package basaltlever.lab.manyservers;
+package basaltlever.lab.endtoend;
 
 import java.util.List;
 import java.util.Map;
