--- a/lab/src/main/java/basaltlever/lab/endtoend/ClientLoad.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ClientLoad.java
@@ -188,6 +188,14 @@
             if (random.nextDouble() < day.leaveShare()) {
                 loop.schedule(this::leave, random.nextInt(60), TimeUnit.MILLISECONDS);
             }
+            if (asked.peek() == entry) {
+                counts(entry);
+            }
+        }
+
+        /** It is the first on this connection that is not answered: its time begins. */
+        private void counts(Entry entry) {
+            entry.countsFromMillis = clock.nowMillis();
             loop.schedule(() -> giveUp(entry), entry.workload.deadlineMillis() + GIVES_UP_BEHIND_MILLIS,
                 TimeUnit.MILLISECONDS);
         }
@@ -259,6 +267,9 @@
             ended(entry, told == null ? Outcome.FAILED : told);
             told = null;
             answeredOnce = true;
+            if (!asked.isEmpty()) {
+                counts(asked.peek());
+            }
             if (asked.isEmpty() && closesAfterAnswer) {
                 gone = true;
                 channel.close();
@@ -290,6 +301,7 @@
         private void askAgain(Entry entry) {
             asked.add(entry);
             unsent.add(text(entry));
+            counts(entry);
         }
 
         @Override
--- a/lab/src/main/java/basaltlever/lab/endtoend/Soak.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/Soak.java
@@ -22,6 +22,8 @@
     private double minutes = 1;
     @Parameter(names = "--router-jar", description = "a build of the router; else this program's own")
     private Path jar;
+    @Parameter(names = "--follow", description = "milliseconds: the life of each statement that takes longer is logged")
+    private long follow;
     @Parameter(names = "--logs", description = "folder for the routers' logs of days that failed")
     private Path logs;
 
@@ -63,6 +65,9 @@
 
     private boolean play(long one, Path library, Teller teller, List<String> table) throws Exception {
         try (SoakDay day = new SoakDay(one, minutes * 60, jar, library)) {
+            if (follow > 0) {
+                day.follow(follow);
+            }
             Map<String, Object> figures = day.play();
             figures.put("seed", one);
             List<String> broken = broken(figures);
--- a/lab/src/main/java/basaltlever/lab/endtoend/SoakDay.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/SoakDay.java
@@ -93,6 +93,11 @@
             + discovery.wholeList(router) + ",\"settings\":" + settings.text(router, day.routers()) + "}";
     }
 
+    /** The life of each statement that takes longer goes to its router's log. */
+    void follow(long millis) {
+        routers.forEach(router -> router.follow(millis));
+    }
+
     /** Plays it to its end. */
     Map<String, Object> play() throws Exception {
         long since = System.nanoTime();
--- a/lab/src/main/java/basaltlever/lab/endtoend/StatementLedger.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/StatementLedger.java
@@ -25,7 +25,8 @@
         final String id;
         final StatementClass workload;
         final int router;
-        final long sentAtMillis;
+        /** Since when its time counts: not while one before it on the same connection is unanswered. */
+        long countsFromMillis;
         Outcome outcome;
         long leftAtMillis = Long.MAX_VALUE;
         long endedAtMillis;
@@ -37,11 +38,11 @@
             this.id = id;
             this.workload = workload;
             this.router = router;
-            this.sentAtMillis = sentAtMillis;
+            countsFromMillis = sentAtMillis;
         }
 
         long deadlineMillis() {
-            return sentAtMillis + workload.deadlineMillis();
+            return countsFromMillis + workload.deadlineMillis();
         }
     }
 
@@ -115,7 +116,7 @@
         outcomes.merge(outcome, 1, Integer::sum);
         boolean answered = outcome == Outcome.SERVED || outcome == Outcome.REFUSED || outcome == Outcome.FAILED;
         if (outcome == Outcome.SERVED) {
-            servedMillis.add(nowMillis - entry.sentAtMillis);
+            servedMillis.add(nowMillis - entry.countsFromMillis);
         }
         if (answered && nowMillis > entry.deadlineMillis()) {
             late++;
