--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -261,6 +261,24 @@
         }
     }
 
+    /** Found by a soak: who is told to go comes back at once on a new connection, which must find no listener. */
+    @Example
+    void nobodyIsToldToGoWhileTheMachineStillTakesConnections() throws Exception {
+        try (Forgetful router = new Forgetful(140); Client client = new Client(router.port)) {
+            check(client.start().answer().isEmpty(), "it serves");
+            java.util.concurrent.CompletableFuture<String> comesBack = new java.util.concurrent.CompletableFuture<>();
+            router.loop.execute(() -> router.accepting.closeOnceQuiet(router.listener, () -> {
+                try (Socket again = new Socket()) {
+                    again.connect(new InetSocketAddress("127.0.0.1", router.port), 500);
+                    comesBack.complete("connected, and will be reset");
+                } catch (IOException refused) {
+                    comesBack.complete("refused");
+                }
+            }));
+            check(comesBack.get(2, TimeUnit.SECONDS).equals("refused"), comesBack.get());
+        }
+    }
+
     @Example
     void whoSentHalfOfAFirstStatementMakesRoom() throws Exception {
         List<Client> halves = new ArrayList<>();
