Resting clients are told to go only once the closed listener's socket is closed in the system

Cause: Accepting.closeOnceQuiet ran the step behind the close in the same turn; the runtime closes the socket of a closed channel in the loop's next look, up to which the machine accepts connections that are then reset. Change: that step runs in the turn behind that look, so who comes back is refused and goes to another router. The soak names when a failed statement's time began.

--- a/lab/src/main/java/basaltlever/lab/endtoend/StatementLedger.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/StatementLedger.java
@@ -143,7 +143,7 @@
         broken.merge(rule, 1, Integer::sum);
         if (failures.size() < KEPT_FAILURES) {
             failures.put(entry.id + " " + entry.workload.key() + " n" + entry.router + " " + rule, how + "; attempts "
-                + entry.attempts);
+                + entry.attempts + ", counted from " + java.time.Instant.ofEpochMilli(entry.countsFromMillis));
         }
     }
 
--- a/router/src/main/java/basaltlever/net/Accepting.java
+++ b/router/src/main/java/basaltlever/net/Accepting.java
@@ -37,7 +37,8 @@
                 closeOnceQuiet(listener, then);
             } else {
                 listener.close();
-                then.run();
+                // Its socket is closed in the loop's next look: whoever is told to go before comes back to be reset.
+                loop.execute(then);
             }
         })));
     }
