Subsets take in members that may be used though the list dropped them; SocketWorld in a file of its own

Cause: read over: ReplicaSubset left out every member that is not in service, also where removals do not bind and a member that is gone may be sent to; with more than eight members named in a group, an emptied list would have left its reads only the primary. Change: who may be used is the decisions' word (listedForUse).

--- a/router/src/main/java/basaltlever/Balance.java
+++ b/router/src/main/java/basaltlever/Balance.java
@@ -338,7 +338,7 @@
 
     /** The members that this router sends reads to: all but in large groups. */
     private List<Node> inUse(Group group) {
-        return ReplicaSubset.of(group, now, agreed.standing().routers(), agreed.standing().index());
+        return ReplicaSubset.of(group, now, agreed.standing().routers(), agreed.standing().index(), this::listedForUse);
     }
 
     /** Those to choose among for one read. */
--- a/router/src/main/java/basaltlever/config/StartFile.java
+++ b/router/src/main/java/basaltlever/config/StartFile.java
@@ -200,16 +200,14 @@
         return sockets;
     }
 
-    /** The list of members as this router last had it, in the form of discovery. */
-    public Map<?, ?> known() {
-        return known;
-    }
-
     public boolean hasKnown() {
         return known.containsKey("instances");
     }
 
-    /** The same, once: a long list is not kept for as long as the settings are. */
+    /**
+     * The list of members as this router last had it, in the form of discovery; once, since a long list is not kept for as
+     * long as the settings are.
+     */
     public Map<?, ?> releaseKnown() {
         Map<?, ?> released = known;
         known = Map.of();
--- a/router/src/main/java/basaltlever/endpoints/ReplicaSubset.java
+++ b/router/src/main/java/basaltlever/endpoints/ReplicaSubset.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Deterministic subsetting: the members of a large group that one router sends reads to. All routers know the same
@@ -28,13 +29,13 @@
     }
 
     /** The members to choose among; looked up anew where the group has changed. */
-    public static List<Node> of(Group group, Moment now, int routers, int index) {
+    public static List<Node> of(Group group, Moment now, int routers, int index, Predicate<Node> mayBeUsed) {
         if (group.members.size() <= LEAST) {
             return group.members;
         }
         boolean due = !now.since(group.subsetAt).isShorterThan(APART);
         if (group.subset == null || group.subsetStale && due) {
-            group.subset = choose(group, routers, index);
+            group.subset = choose(group, routers, index, mayBeUsed);
             group.subsetAt = now;
             group.subsetStale = false;
         }
@@ -62,10 +63,10 @@
         group.subsetStale = true;
     }
 
-    private static List<Node> choose(Group group, int routers, int index) {
+    private static List<Node> choose(Group group, int routers, int index, Predicate<Node> mayBeUsed) {
         List<Node> ring = new ArrayList<>(group.members.size());
         for (Node member : group.members) {
-            if (member.isInService()) {
+            if (mayBeUsed.test(member)) {
                 ring.add(member);
             }
         }
--- a/router/src/test/java/basaltlever/EndingsTest.java
+++ b/router/src/test/java/basaltlever/EndingsTest.java
@@ -1,11 +1,10 @@
 package basaltlever;
 
-import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.SocketWorld.statement;
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld;
-import basaltlever.StandIn.SocketWorld.Client;
-import basaltlever.StandIn.SocketWorld.Mode;
+import basaltlever.SocketWorld.Client;
+import basaltlever.SocketWorld.Mode;
 import basaltlever.config.StartFault;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -70,6 +69,36 @@
         }
     }
 
+    /** The first servers say nothing; what the later ones are told is what is left by then. */
+    @Example
+    void theTimeThatAnotherExecutionTellsItsNodeIsWhatIsLeft() throws Exception {
+        try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port)) {
+            client.start().answer();
+            for (int i = 0; i < 200; i++) {
+                // So that silence is told from what is usual.
+                client.ask(statement("warm" + i, "view", 900)).answer();
+            }
+            world.nodes.forEach(node -> node.gotAt.clear());
+            for (SocketWorld.Node node : world.nodes) {
+                node.mode = node.primary ? Mode.ROW : Mode.SILENT;
+            }
+            int before = world.seen.size();
+            long start = System.nanoTime();
+            client.ask(statement("dl", "view", 1_500)).answer();
+            List<Long> arrivals = new ArrayList<>();
+            world.nodes.forEach(node -> arrivals.addAll(node.gotAt));
+            Collections.sort(arrivals);
+            List<String> queries = List.copyOf(world.seen).subList(before, world.seen.size());
+            check(queries.size() > 1 && arrivals.size() == queries.size(), "more than one: " + queries);
+            for (int i = 0; i < queries.size(); i++) {
+                long told = Long.parseLong(queries.get(i).replaceAll("(?s).*,d=(\\d+),.*", "$1"));
+                long passed = (arrivals.get(i) - start) / 1_000_000;
+                check(told <= 1_500 - passed + 20, "execution " + i + " was told " + told + " after " + passed + " ms");
+            }
+            check((arrivals.get(arrivals.size() - 1) - start) / 1_000_000 > 50, "the last one came later");
+        }
+    }
+
     @Example
     void whatIsReadAfterTheEndIsNeverSentOn() throws Exception {
         try (SocketWorld world = new SocketWorld(); Client client = new Client(world.port)) {
--- a/router/src/test/java/basaltlever/KeeperTest.java
+++ b/router/src/test/java/basaltlever/KeeperTest.java
@@ -1,12 +1,11 @@
 package basaltlever;
 
-import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.SocketWorld.statement;
 import static basaltlever.StandIn.check;
 import static basaltlever.StandIn.ms;
 
-import basaltlever.StandIn.SocketWorld;
-import basaltlever.StandIn.SocketWorld.Client;
-import basaltlever.StandIn.SocketWorld.Mode;
+import basaltlever.SocketWorld.Client;
+import basaltlever.SocketWorld.Mode;
 import basaltlever.config.OperatorFile;
 import basaltlever.discovery.MemberList;
 import basaltlever.keep.Folder;
@@ -175,7 +174,7 @@
         View view = KeepTest.view(9, 2_000);
         Recollection recollection = Recollection.of(view, "fleet", "n3", view.writtenAt() + 9,
             view.steady() + 9, "boot");
-        basaltlever.core.Core<String> core = StandIn.SocketWorld.core();
+        basaltlever.core.Core<String> core = SocketWorld.core();
         MemberList list = new MemberList(core, List.of(), (node, address) -> { });
         list.recalls(recollection, node -> { });
         StringBuilder members = new StringBuilder();
--- a/router/src/test/java/basaltlever/ParserTest.java
+++ b/router/src/test/java/basaltlever/ParserTest.java
@@ -2,7 +2,6 @@
 
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld;
 import basaltlever.core.Core;
 import basaltlever.core.Gauges;
 import basaltlever.discovery.ChunkReader;
--- a/router/src/test/java/basaltlever/ProcessTest.java
+++ b/router/src/test/java/basaltlever/ProcessTest.java
@@ -1,10 +1,9 @@
 package basaltlever;
 
-import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.SocketWorld.statement;
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld;
-import basaltlever.StandIn.SocketWorld.Client;
+import basaltlever.SocketWorld.Client;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
--- a/router/src/test/java/basaltlever/RouterTest.java
+++ b/router/src/test/java/basaltlever/RouterTest.java
@@ -1,11 +1,10 @@
 package basaltlever;
 
-import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.SocketWorld.statement;
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld;
-import basaltlever.StandIn.SocketWorld.Client;
-import basaltlever.StandIn.SocketWorld.Mode;
+import basaltlever.SocketWorld.Client;
+import basaltlever.SocketWorld.Mode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.util.ArrayList;
--- a/router/src/test/java/basaltlever/StartTest.java
+++ b/router/src/test/java/basaltlever/StartTest.java
@@ -2,7 +2,6 @@
 
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld;
 import basaltlever.config.StartFault;
 import basaltlever.config.StartFile;
 import basaltlever.core.Core;
--- a/router/src/test/java/basaltlever/WatchTest.java
+++ b/router/src/test/java/basaltlever/WatchTest.java
@@ -1,11 +1,10 @@
 package basaltlever;
 
-import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.SocketWorld.statement;
 import static basaltlever.StandIn.check;
 import static basaltlever.StandIn.ms;
 
-import basaltlever.StandIn.SocketWorld;
-import basaltlever.StandIn.SocketWorld.Client;
+import basaltlever.SocketWorld.Client;
 import basaltlever.gateway.*;
 import basaltlever.time.Moment;
 import java.io.IOException;
--- a/router/src/test/java/basaltlever/endpoints/ReplicaSubsetTest.java
+++ b/router/src/test/java/basaltlever/endpoints/ReplicaSubsetTest.java
@@ -38,7 +38,7 @@
         int[] covered = new int[group.members.size()];
         for (int router = 0; router < routers; router++) {
             group.subset = null;
-            for (Node member : ReplicaSubset.of(group, NOW, routers, router)) {
+            for (Node member : ReplicaSubset.of(group, NOW, routers, router, Node::isInService)) {
                 covered[member.id]++;
             }
         }
@@ -48,7 +48,7 @@
     @Example
     void aSmallGroupIsUsedWhole() {
         Group group = group(ReplicaSubset.LEAST, new SplittableRandom(1));
-        check(ReplicaSubset.of(group, NOW, 100, 7) == group.members, "the list itself");
+        check(ReplicaSubset.of(group, NOW, 100, 7, Node::isInService) == group.members, "the list itself");
     }
 
     @Property(tries = 60, seed = "38", shrinking = ShrinkingMode.OFF)
@@ -76,26 +76,26 @@
     @Example
     void anotherStandsInForOneThatIsLost() {
         Group group = group(64, new SplittableRandom(3));
-        List<Node> before = List.copyOf(ReplicaSubset.of(group, NOW, 100, 0));
+        List<Node> before = List.copyOf(ReplicaSubset.of(group, NOW, 100, 0, Node::isInService));
         check(before.size() == ReplicaSubset.LEAST, "the least: " + before.size());
         before.get(0).down = true;
         before.get(3).silent = true;
         group.subsetStale = true;
-        check(ReplicaSubset.of(group, NOW.plus(Span.ofMillis(50)), 100, 0).equals(before), "not at once");
-        List<Node> after = ReplicaSubset.of(group, NOW.plus(Span.ofMillis(150)), 100, 0);
+        check(ReplicaSubset.of(group, NOW.plus(Span.ofMillis(50)), 100, 0, Node::isInService).equals(before), "not at once");
+        List<Node> after = ReplicaSubset.of(group, NOW.plus(Span.ofMillis(150)), 100, 0, Node::isInService);
         check(after.size() == before.size() + 2 && after.containsAll(before), "two more: " + after.size());
         ReplicaSubset.widen(group, 100);
-        check(ReplicaSubset.of(group, NOW.plus(Span.ofMillis(300)), 100, 0).size() > after.size(), "wider");
+        check(ReplicaSubset.of(group, NOW.plus(Span.ofMillis(300)), 100, 0, Node::isInService).size() > after.size(), "wider");
         ReplicaSubset.narrow(group);
-        check(ReplicaSubset.of(group, NOW.plus(Span.ofMillis(450)), 100, 0).size() == after.size(), "and back");
+        check(ReplicaSubset.of(group, NOW.plus(Span.ofMillis(450)), 100, 0, Node::isInService).size() == after.size(), "and back");
     }
 
     @Example
     void whoDrainsIsLeftOut() {
         Group group = group(64, new SplittableRandom(4));
-        Node first = ReplicaSubset.of(group, NOW, 100, 0).get(0);
+        Node first = ReplicaSubset.of(group, NOW, 100, 0, Node::isInService).get(0);
         first.listing = Listing.DRAINING;
         group.subsetStale = true;
-        check(!ReplicaSubset.of(group, NOW.plus(Span.ofMillis(150)), 100, 0).contains(first), "another in its place");
+        check(!ReplicaSubset.of(group, NOW.plus(Span.ofMillis(150)), 100, 0, Node::isInService).contains(first), "another in its place");
     }
 }
--- a/router/src/test/java/basaltlever/net/OwedTest.java
+++ b/router/src/test/java/basaltlever/net/OwedTest.java
@@ -1,9 +1,9 @@
 package basaltlever.net;
 
-import static basaltlever.StandIn.SocketWorld.statement;
+import static basaltlever.SocketWorld.statement;
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld.Client;
+import basaltlever.SocketWorld.Client;
 import basaltlever.config.Places;
 import basaltlever.config.StartFile;
 import basaltlever.core.Core;
--- a/router/src/test/java/basaltlever/net/SystemCallFaultsTest.java
+++ b/router/src/test/java/basaltlever/net/SystemCallFaultsTest.java
@@ -2,7 +2,7 @@
 
 import static basaltlever.StandIn.check;
 
-import basaltlever.StandIn.SocketWorld;
+import basaltlever.SocketWorld;
 import basaltlever.core.Core;
 import basaltlever.discovery.MemberList;
 import basaltlever.gateway.Ending;
