--- a/lab/src/main/java/basaltlever/lab/endtoend/DiscoveryService.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/DiscoveryService.java
@@ -240,12 +240,16 @@
         private void piece(ListText list, byte[] text, int from, int toldBefore) {
             int to = Math.min(text.length, from + day.listPieceBytes());
             bytesWritten[router] += to - from;
-            channel.writeAndFlush(Unpooled.wrappedBuffer(text, from, to - from));
             int told = toldBefore;
-            long now = clock.nowMillis();
             while (told < list.ends.length && list.ends[told] <= to) {
-                farm.told(router, list.servers.get(told++), now);
+                told++;
             }
+            List<SimulatedServer> come = list.servers.subList(toldBefore, told);
+            channel.writeAndFlush(Unpooled.wrappedBuffer(text, from, to - from)).addListener(done -> {
+                // Written once the system has taken it, not while it waits in this process for a peer that reads late.
+                long now = clock.nowMillis();
+                come.forEach(server -> farm.told(router, server, now));
+            });
             if (to < text.length) {
                 int next = told;
                 loop.schedule(() -> piece(list, text, to, next), day.listPieceMillis(), TimeUnit.MILLISECONDS);
--- a/router/src/main/java/basaltlever/Recall.java
+++ b/router/src/main/java/basaltlever/Recall.java
@@ -81,6 +81,8 @@
                 .over(Balance.SECOND);
             node.coldWork = Math.max(balance.coldLevel(node), view.coldSpent() * balance.typicalOfAll - back);
             node.coldAt = now;
+            // What the earlier process sent counts as this one's: a restart is no fresh budget.
+            node.coldUntried &= view.coldSpent() <= 0;
         }
         if (view.drains() && node.listing != Listing.GONE) {
             node.drainSeen = true;
