--- a/router/src/test/java/basaltlever/SocketWorld.java
+++ b/router/src/test/java/basaltlever/SocketWorld.java
@@ -381,7 +381,7 @@
     }
 
     /** One that carries nothing out. */
-    static basaltlever.core.Core<String> core() {
+    public static basaltlever.core.Core<String> core() {
         try {
             return new basaltlever.core.Core<>(new Silent(), values().balance(1, new Moment(0),
                 values().holds()));
