A watch reads all that has come, for 15 ms in each look: statements no longer overtake drains

Cause: this work's own bound of one read of 8 KB a look (for short turns) left the rest of a long change in the socket while statements of the same look were decided. Change: net.TimedReads reads on as long as something has come, up to 15 ms in a look; entries are parsed as before, and news is heard before statements of the same look.

--- a/router/src/main/java/basaltlever/net/Watch.java
+++ b/router/src/main/java/basaltlever/net/Watch.java
@@ -19,7 +19,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -43,8 +42,9 @@
     private static final Span ANSWER = Span.ofMillis(2_500);
     /** One whose answer has begun goes on for as long as entries come, at most for this long. */
     private static final Span WHOLE = Span.ofMillis(20_000);
-    /** So much of an answer is read in one turn: some tens of entries. */
+    /** So much of an answer is read at once, some tens of entries, and for so long in one turn. */
     private static final int READ_BYTES = 8_192;
+    private static final Span READS_FOR = Span.ofMillis(15);
 
     private final Bootstrap bootstrap;
     private final Turn turn;
@@ -94,7 +94,7 @@
         opening = call;
         calls++;
         ChannelFuture connecting = bootstrap.clone().handler(call)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(1))
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new TimedReads(READ_BYTES, READS_FOR))
             .connect(discovery);
         if (connecting.isDone() && !connecting.isSuccess()) {
             // No socket was to be had, or no way leads there: such a channel may belong to no loop.
