--- a/lab/src/main/java/basaltlever/lab/endtoend/LoopLateness.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/LoopLateness.java
@@ -13,6 +13,8 @@
   private static final long MILLI = 1_000_000;
   private final EventLoop loop;
   private long dueNanos;
+  private long lastTickNanos = System.nanoTime();
+  private long tickBeforeNanos = lastTickNanos;
   private long mostNanos;
   private long recentNanos;
   private long recentSinceNanos;
@@ -35,6 +37,8 @@
 
   private void note() {
     long now = System.nanoTime();
+    tickBeforeNanos = lastTickNanos;
+    lastTickNanos = now;
     long late = Math.max(0, now - dueNanos);
     mostNanos = Math.max(mostNanos, late);
     if (late >= recentNanos || now - recentSinceNanos > REMEMBERED_NANOS) {
@@ -51,6 +55,14 @@
     return Math.max(recentNanos, System.nanoTime() - dueNanos) / MILLI;
   }
 
+  /**
+   * For how long what is read right now may have lain unread, at most: the loop has looked at its
+   * sockets between any two of its timers. On the loop only.
+   */
+  long unreadMillisAtMost() {
+    return (System.nanoTime() - tickBeforeNanos) / MILLI;
+  }
+
   long mostMillis() {
     return mostNanos / MILLI;
   }
--- a/lab/src/main/java/basaltlever/lab/endtoend/ServerFarm.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ServerFarm.java
@@ -46,6 +46,7 @@
   private final DaySettings settings;
   private final DayClock clock;
   private final StatementLedger ledger;
+  private final LoopLateness lateness;
   private final SplittableRandom random;
   private final List<SimulatedServer> servers;
   private final double capacityPerSecond;
@@ -71,6 +72,7 @@
     this.settings = settings;
     this.clock = clock;
     this.ledger = ledger;
+    lateness = new LoopLateness(loop);
     this.random = random;
     servers = new ArrayList<>(day.servers());
     for (int i = 0; i < day.servers(); i++) {
@@ -237,6 +239,8 @@
     private void statement(
         ChannelHandlerContext context, StatementLedger.Entry entry, String text) {
       long now = nowMillis();
+      // A router is judged by when it came, which is no earlier than this.
+      long cameAt = now - lateness.unreadMillisAtMost();
       if (entry == null) {
         reply(
             context,
@@ -244,20 +248,20 @@
                 MessageEncoder.errorResponse(out, "ERROR", "53300", "nobody waits for this", null));
         return;
       }
-      ledger.attempt(entry, now);
+      ledger.attempt(entry, cameAt);
       Matcher told = DEADLINE.matcher(text);
       if (told.find()) {
-        ledger.deadline(entry, Long.parseLong(told.group(1)), now);
+        ledger.deadline(entry, Long.parseLong(told.group(1)), cameAt);
       }
       server.statements++;
       long toldAt = toldGoneAtMillis[router][server.index];
-      if (toldAt > 0 && now > toldAt + settings.drainGraceMillis() + CLOCK_SLACK_MILLIS) {
+      if (toldAt > 0 && cameAt > toldAt + settings.drainGraceMillis() + CLOCK_SLACK_MILLIS) {
         ledger.breaks(
             "drain_late",
             entry,
             server.id()
                 + " got an attempt "
-                + (now - toldAt)
+                + (cameAt - toldAt)
                 + " ms after its router was told that it is "
                 + server.lifecycle.key);
       }
