A server has its time for a connection though the router's loop was held up

Cause: the time for a connection (ConnectTimeout, 250 ms) and for a poll went on while the router's own loop was held up. At the first look all ten servers ran out of it though they answered at once; a second time, and they counted as silent, so that reads had nowhere to go.

Change: PeerTimeout is the time that a server has. It is longer by the time for which ReadinessClock knows that the loop was not there for its sockets, up to five times the limit in all, and what has come by its end is read first. Deadlines of clients and the latest moment for sending stay as they were, so what was told to drain meanwhile gets nothing.

ComesUpTest.aServerIsGivenItsTimeThoughTheLoopWasHeldUpForLonger fails on ("it is out"); aServerThatNeverWelcomesIsGivenUp holds the other side.

--- a/router/src/main/java/basaltlever/net/AttemptExecutor.java
+++ b/router/src/main/java/basaltlever/net/AttemptExecutor.java
@@ -158,7 +158,7 @@
    */
   void readTable(String node) {
     if (!changeTable.isEmpty()) {
-      start(new AnnouncementQuery(node), node, pollTimeout);
+      start(new AnnouncementQuery(node), node);
     }
   }
 
@@ -311,13 +311,19 @@
             job.endLost(AttemptOutcome.NEVER_SENT, AttemptOutcome.NEVER_SENT);
             return;
           }
-          start(job, node, left);
+          startAttempt(job, node, left);
         });
   }
 
-  private void start(ServerQuery query, String node, Span limit) {
-    query.endsBy(
-        loop.schedule(query::timeIsOver, Math.max(1, limit.micros()), TimeUnit.MICROSECONDS));
+  private void startAttempt(Attempt attempt, String node, Span left) {
+    attempt.endsBy(
+        loop.schedule(attempt::timeIsOver, Math.max(1, left.micros()), TimeUnit.MICROSECONDS));
+    links.apply(node).start(attempt);
+  }
+
+  /** What is no client's has no deadline, only the time that the server may take. */
+  private void start(ServerQuery query, String node) {
+    query.endsBy(PeerTimeout.start(iteration, loop, pollTimeout, query::timeIsOver));
     links.apply(node).start(query);
   }
 
@@ -378,7 +384,7 @@
       looked = true;
       firstLook.add(node);
     }
-    iteration.act(() -> start(new Poll(node), node, pollTimeout));
+    iteration.act(() -> start(new Poll(node), node));
   }
 
   @Override
@@ -431,7 +437,7 @@
     iteration.act(
         () -> {
           for (int more = links.apply(node).missing(connections); more > 0; more--) {
-            start(new ConnectionWarmUp(), node, pollTimeout);
+            start(new ConnectionWarmUp(), node);
           }
         });
   }
--- a/router/src/main/java/basaltlever/net/ConnectionPool.java
+++ b/router/src/main/java/basaltlever/net/ConnectionPool.java
@@ -78,6 +78,11 @@
     return iteration.clock().now();
   }
 
+  /** For a connection that begins to be opened now. */
+  PeerTimeout connectTimeout(Runnable onTimeout) {
+    return PeerTimeout.start(iteration, loop, connectTimeout, onTimeout);
+  }
+
   void at(InetSocketAddress now) {
     if (!now.equals(address)) {
       letGo();
@@ -150,7 +155,7 @@
       connection.gone();
       return;
     }
-    connection.opens(connecting.channel(), connectTimeout.micros());
+    connection.opens(connecting.channel());
     opening++;
     iteration.counters().add(Counter.NODE_CONNECTION_OPENED);
     connecting.addListener(
--- a/router/src/main/java/basaltlever/net/LoopIteration.java
+++ b/router/src/main/java/basaltlever/net/LoopIteration.java
@@ -97,6 +97,20 @@
     return readinessClock.cameSince();
   }
 
+  /**
+   * Runs the task behind the loop's next look at its sockets: by way of a task, since what is put
+   * behind an iteration from behind it would run in it.
+   */
+  void afterNextLook(Runnable task) {
+    loop.executeAfterEventLoopIteration(
+        () -> loop.execute(() -> loop.executeAfterEventLoopIteration(task)));
+  }
+
+  /** For how long this loop has been held up since it began, in all. */
+  Span heldUp() {
+    return readinessClock.heldUp();
+  }
+
   /** What the turn under way has had to do. */
   IterationLoad load() {
     return load;
--- a/router/src/main/java/basaltlever/net/PooledConnection.java
+++ b/router/src/main/java/basaltlever/net/PooledConnection.java
@@ -15,9 +15,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,7 +43,7 @@
   private State state = State.OPENING;
   private ServerQuery query;
   private QueryResponse response;
-  private Future<?> upBy;
+  private PeerTimeout upBy;
   private Moment idleSince;
 
   /** Whether what came could not be read: the node lives and the statement may have run. */
@@ -64,20 +62,16 @@
     query.on(this);
   }
 
-  void opens(Channel opening, long micros) {
+  void opens(Channel opening) {
     channel = opening;
-    upBy =
-        opening
-            .eventLoop()
-            .schedule(
-                () -> {
-                  if (state == State.OPENING) {
-                    pool.count(Counter.NODE_CONNECT_TIMED_OUT);
-                    close();
-                  }
-                },
-                micros,
-                TimeUnit.MICROSECONDS);
+    upBy = pool.connectTimeout(this::connectTimedOut);
+  }
+
+  private void connectTimedOut() {
+    if (state == State.OPENING && !welcomed) {
+      pool.count(Counter.NODE_CONNECT_TIMED_OUT);
+      close();
+    }
   }
 
   @Override
@@ -152,7 +146,7 @@
       if (decoder.bufferedBytes() > 0) {
         throw new ProtocolException(ProtocolCodes.PROTOCOL_VIOLATION, "more than a welcome");
       }
-      upBy.cancel(false);
+      upBy.cancel();
       welcomed = true;
       pool.welcomed(this);
     } else if (type == ProtocolCodes.ERROR_RESPONSE && state == State.OPENING) {
@@ -257,7 +251,7 @@
     }
     state = State.CLOSED;
     if (upBy != null) {
-      upBy.cancel(false);
+      upBy.cancel();
     }
     decoder.release();
     pool.closed(this);
--- a/router/src/main/java/basaltlever/net/ReadinessClock.java
+++ b/router/src/main/java/basaltlever/net/ReadinessClock.java
@@ -32,6 +32,7 @@
   private Moment provenAt;
 
   private Moment bound;
+  private Span heldUp = Span.NONE;
 
   ReadinessClock(Supplier<Moment> clock) {
     this.clock = clock;
@@ -45,6 +46,8 @@
   /** A look at the sockets begins, and the former one with all behind it is over. */
   void begins() {
     began = clock.get();
+    Span handledFor = began.since(handledAt);
+    heldUp = handledFor.isLongerThan(HELD_UP) ? heldUp.plus(handledFor) : heldUp;
     waitsUntil = began;
     handling = false;
   }
@@ -69,12 +72,21 @@
     return bound;
   }
 
+  /**
+   * For how long, in all, the loop was not there for its sockets: what it handled between two looks
+   * took long, or a look lasted longer than it was to wait.
+   */
+  Span heldUp() {
+    return heldUp;
+  }
+
   private void found() {
     handling = true;
     handledAt = clock.get();
-    boolean heldUp = handledAt.isAfter(waitsUntil.plus(HELD_UP));
-    boolean waited = !heldUp && handledAt.since(began).isLongerThan(AT_ONCE);
+    boolean isHeldUp = handledAt.isAfter(waitsUntil.plus(HELD_UP));
+    heldUp = isHeldUp ? heldUp.plus(handledAt.since(waitsUntil)) : heldUp;
+    boolean waited = !isHeldUp && handledAt.since(began).isLongerThan(AT_ONCE);
     bound = waited ? handledAt : provenAt;
-    provenAt = heldUp ? provenAt : handledAt;
+    provenAt = isHeldUp ? provenAt : handledAt;
   }
 }
--- a/router/src/main/java/basaltlever/net/ServerQuery.java
+++ b/router/src/main/java/basaltlever/net/ServerQuery.java
@@ -13,6 +13,7 @@
 abstract class ServerQuery {
   private PooledConnection connection;
   private Future<?> limit;
+  private PeerTimeout peerTimeout;
 
   /** Whether its last byte was written: before, it is proven that nothing ran. */
   private boolean written;
@@ -42,6 +43,10 @@
     this.limit = limit;
   }
 
+  final void endsBy(PeerTimeout timeout) {
+    peerTimeout = timeout;
+  }
+
   final void wasWritten() {
     written = true;
   }
@@ -96,6 +101,9 @@
     if (limit != null) {
       limit.cancel(false);
     }
+    if (peerTimeout != null) {
+      peerTimeout.cancel();
+    }
     return true;
   }
 }
--- a/router/src/test/java/basaltlever/net/ComesUpTest.java
+++ b/router/src/test/java/basaltlever/net/ComesUpTest.java
@@ -115,8 +115,71 @@
     }
   }
 
+  /**
+   * Guards against: beside load a router took servers that answer at once for silent ones, since
+   * its time for a connection passed while it was held up itself.
+   */
+  @Example
+  void aServerIsGivenItsTimeThoughTheLoopWasHeldUpForLonger() throws Exception {
+    Clock clock = new Clock();
+    ReadinessClock readinessClock = new ReadinessClock(clock::now);
+    MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, PreciseSelectStrategy.newFactory(readinessClock));
+    SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+    try (ServerSocket node = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      Waits job = new Waits();
+      LoopIteration iteration =
+          loop.submit(() -> new LoopIteration(loop, clock, readinessClock)).sync().getNow();
+      Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
+      loop.submit(
+              () -> {
+                link(bootstrap, loop, iteration, node, Span.ofMillis(300)).start(job);
+                HeldUpRouter.sleep(600);
+              })
+          .sync();
+      try (Socket opened = node.accept()) {
+        opened.getInputStream().read(new byte[200]);
+        Thread.sleep(50);
+        ByteBuf welcome = Unpooled.buffer();
+        MessageEncoder.startupResponse(welcome);
+        opened.getOutputStream().write(ByteBufUtil.getBytes(welcome));
+        check(job.became.get(2, TimeUnit.SECONDS).equals("written"), "it is out");
+      }
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+  }
+
+  /** A server that never welcomes is given up in its time where the loop runs. */
+  @Example
+  void aServerThatNeverWelcomesIsGivenUp() throws Exception {
+    MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(
+            1, PreciseSelectStrategy.newFactory(new ReadinessClock(new Clock()::now)));
+    SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
+    try (ServerSocket node = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+      Waits job = new Waits();
+      LoopIteration iteration = HeldUpRouter.turn(loop);
+      Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
+      loop.submit(() -> link(bootstrap, loop, iteration, node, Span.ofMillis(100)).start(job))
+          .sync();
+      check(job.became.get(2, TimeUnit.SECONDS).equals("NO_CONNECTION"), "given up");
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+  }
+
   private static ConnectionPool link(
       Bootstrap bootstrap, SingleThreadEventLoop loop, LoopIteration iteration, ServerSocket node) {
+    return link(bootstrap, loop, iteration, node, Span.ofMillis(5_000));
+  }
+
+  private static ConnectionPool link(
+      Bootstrap bootstrap,
+      SingleThreadEventLoop loop,
+      LoopIteration iteration,
+      ServerSocket node,
+      Span connectTimeout) {
     ConnectionPool pool =
         new ConnectionPool(
             "s-1",
@@ -125,7 +188,7 @@
             iteration,
             new Descriptors(50),
             new MemoryBudget(1 << 20),
-            Span.ofMillis(5_000),
+            connectTimeout,
             Span.ofMillis(9_000),
             new RateLimitedLog(
                 LoggerFactory.getLogger(ComesUpTest.class),
