--- a/lab/src/main/java/basaltlever/lab/endtoend/ServerFarm.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ServerFarm.java
@@ -254,17 +254,7 @@
         ledger.deadline(entry, Long.parseLong(told.group(1)), cameAt);
       }
       server.statements++;
-      long toldAt = toldGoneAtMillis[router][server.index];
-      if (toldAt > 0 && cameAt > toldAt + settings.drainGraceMillis() + CLOCK_SLACK_MILLIS) {
-        ledger.breaks(
-            "drain_late",
-            entry,
-            server.id()
-                + " got an attempt "
-                + (cameAt - toldAt)
-                + " ms after its router was told that it is "
-                + server.lifecycle.key);
-      }
+      judgeDrain(entry, cameAt);
       if (server.takesWhileCold(now, capacityPerSecond, settings)) {
         ledger.coldToppled();
       }
@@ -280,6 +270,20 @@
       loop.schedule(() -> serve(context, entry), (long) work, TimeUnit.MILLISECONDS);
     }
 
+    private void judgeDrain(StatementLedger.Entry entry, long cameAt) {
+      long toldAt = toldGoneAtMillis[router][server.index];
+      if (toldAt > 0 && cameAt > toldAt + settings.drainGraceMillis() + CLOCK_SLACK_MILLIS) {
+        ledger.breaks(
+            "drain_late",
+            entry,
+            server.id()
+                + " got an attempt "
+                + (cameAt - toldAt)
+                + " ms after its router was told that it is "
+                + server.lifecycle.key);
+      }
+    }
+
     private void serve(ChannelHandlerContext context, StatementLedger.Entry entry) {
       long hangs = server.hangsUntilMillis - nowMillis();
       if (hangs > 0) {
