One look accepts no more new connections than take 5 ms

What callers saw: in a burst at a router that had just begun to serve, beside 16 busy processes, up to a third of some 260 statements were told 53300; p50 of what was served 0.25 to 0.9 s.

Cause: a look accepted 16 connections. In a process whose code is not compiled yet each takes some 2 ms of processor time, three times as much beside load, so an iteration took 50 to 230 ms, and opening a connection to a server takes three of them. All that was in hand became late together.

The others wait in the listen queue, where their time counts. A warm router accepts 16 as before.

--- a/router/src/main/java/basaltlever/net/AcceptHandler.java
+++ b/router/src/main/java/basaltlever/net/AcceptHandler.java
@@ -30,9 +30,6 @@
   /** More clients than this that have connected and not asked are the sign of a crowd. */
   private static final int MANY_UNASKED = 32;
 
-  /** So many are accepted in one look, then what they and others sent has its turn. */
-  static final int MOST_IN_ONE_LOOK = 16;
-
   /**
    * Room is made for so many at a time, and in the mean for so many a second: a crowd must not take
    * the loop.
@@ -50,10 +47,13 @@
   private final LoopIteration iteration;
   private final Descriptors descriptors;
   private final ListenQueue queue;
+  private final AcceptBatch batch = new AcceptBatch();
   private final RateLimitedLog pauses;
   private final DeferredAccept deferral;
   private Channel listener;
   private int accepted;
+  private int acceptedBefore;
+  private Moment lookedAt = Moment.LONG_AGO;
 
   /** How many may be accepted and told that there is no room, where none can be made. */
   private int turnsAway;
@@ -84,7 +84,7 @@
 
   /** For the listener, so that no more are accepted at once than there is room for. */
   RecvByteBufAllocator limitedReads() {
-    return new DefaultMaxMessagesRecvByteBufAllocator(MOST_IN_ONE_LOOK) {
+    return new DefaultMaxMessagesRecvByteBufAllocator(AcceptBatch.MAX_CONNECTIONS) {
       @Override
       public RecvByteBufAllocator.ExtendedHandle newHandle() {
         return new LimitedReads();
@@ -99,12 +99,14 @@
     @Override
     public void reset(ChannelConfig config) {
       read = 0;
+      acceptedBefore = accepted;
+      lookedAt = iteration.clock().now();
       stoppedByLimit = false;
     }
 
     @Override
     public boolean continueReading() {
-      stoppedByLimit = read >= Math.min(MOST_IN_ONE_LOOK, limit());
+      stoppedByLimit = read >= Math.min(batch.size(), limit());
       return !stoppedByLimit;
     }
 
@@ -198,6 +200,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
+    batch.accepted(accepted - acceptedBefore, iteration.clock().now().since(lookedAt));
     queue.looked(!stoppedByLimit, iteration.arrival());
     if (limit() == 0 || descriptors.unaskedClients() > MANY_UNASKED) {
       deferral.request();
