DeferredAccept: seen red without it, quiet behind the end, named where not to be had

What was left: a signal to end between listening and the first deferral would have turned it on behind its end; a system without the native library logged nothing; and only the whole crowd's play showed the rule.

DeferredAcceptTest, behind 1,000 connections that say nothing, on: the client that asks has no answer in 8 s (the crowd comes first, and each of it that goes makes no room here). With the line that keeps the listener open behind the signal taken out, whoIsKeptBackWhenTheRouterIsToldToEndIsServed fails.

--- a/router/src/main/java/basaltlever/net/DeferredAccept.java
+++ b/router/src/main/java/basaltlever/net/DeferredAccept.java
@@ -48,11 +48,13 @@
     this.iteration = iteration;
   }
 
-  /** The listener begins to listen, with the deferral on. */
+  /** The listener begins to listen, with the deferral on; unless the router ends by now. */
   void begin(ListenerSocket listener) {
-    socket = listener;
-    requestedAt = iteration.clock().now();
-    set(DEFERRAL_SECONDS, State.ON);
+    if (state != State.ENDED) {
+      socket = listener;
+      requestedAt = iteration.clock().now();
+      set(DEFERRAL_SECONDS, State.ON);
+    }
   }
 
   /** Whether a connection that is accepted with nothing sent has waited for the deferral. */
--- a/router/src/main/java/basaltlever/net/ListenerSocket.java
+++ b/router/src/main/java/basaltlever/net/ListenerSocket.java
@@ -28,14 +28,17 @@
     this.socket = socket;
   }
 
-  /** Loads the native library, if there is one for this system: not for an event loop's thread. */
-  static boolean isAvailable() {
+  /**
+   * Loads the native library, so that {@link #find} need not; false where there is none for this
+   * system. Not for an event loop's thread.
+   */
+  static boolean load() {
     return Epoll.isAvailable();
   }
 
   /**
-   * Finds the socket of this process that listens at the address. Loads the native library and
-   * reads files: not for an event loop's thread.
+   * Finds the socket of this process that listens at the address. Reads files: not for an event
+   * loop's thread.
    */
   static ListenerSocket find(InetSocketAddress address) throws IOException {
     if (!Epoll.isAvailable()) {
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -202,7 +202,7 @@
     Promise<Void> looked = loop.newPromise();
     loop.execute(() -> lookAround(looked, System.nanoTime()));
     // The loop waits for the first look: what is loaded meanwhile delays the start least.
-    boolean defersAccept = ListenerSocket.isAvailable();
+    ListenerSocket.load();
     looked.sync();
     ChannelFuture bound = loop.submit(this::listen).sync().getNow();
     if (!bound.await().isSuccess()) {
@@ -214,9 +214,7 @@
           List.of("listen: " + start.listen() + " can't be bound: " + bound.cause().getMessage()));
     }
     listener = bound.channel();
-    if (defersAccept) {
-      beginDeferral();
-    }
+    beginDeferral();
     loop.submit(
             () -> {
               executor.serves();
--- /dev/null
+++ b/router/src/test/java/basaltlever/DeferredAcceptTest.java
@@ -0,0 +1,55 @@
+package basaltlever;
+
+import static basaltlever.SocketWorld.statement;
+import static basaltlever.StandIn.check;
+
+import basaltlever.SocketWorld.Client;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/**
+ * Connections that the system keeps out of a router's listen queue until they have sent something.
+ */
+class DeferredAcceptTest {
+  private static final int CROWD = 1_000;
+  private static final long SHORTER_THAN_DEFERRAL_MILLIS = 700;
+
+  /**
+   * Guards against: a client with a statement waited behind a crowd that said nothing, each of
+   * which was accepted and rejected before it.
+   */
+  @Example
+  void aCrowdThatSaysNothingIsNotAcceptedBeforeAClientThatAsks() throws Exception {
+    List<Client> silent = new ArrayList<>();
+    try (SocketWorld world = new SocketWorld()) {
+      long connectsSince = System.nanoTime();
+      for (int i = 0; i < CROWD; i++) {
+        silent.add(new Client(world.port));
+      }
+      try (Client asks = new Client(world.port).start()) {
+        asks.answer();
+        check(asks.ask(statement("a1", "view", 900)).answer().equals("row:a1"), "served");
+      }
+      boolean deferred =
+          System.nanoTime() - connectsSince < SHORTER_THAN_DEFERRAL_MILLIS * 1_000_000;
+      check(!deferred || silent.get(0).in.available() == 0, "nobody was rejected for it");
+    } finally {
+      for (Client client : silent) {
+        client.close();
+      }
+    }
+  }
+
+  /** Guards against: a listener that ends resets who has connected and is kept back. */
+  @Example
+  void whoIsKeptBackWhenTheRouterIsToldToEndIsServed() throws Exception {
+    try (SocketWorld world = new SocketWorld();
+        Client client = new Client(world.port)) {
+      world.router.drain();
+      Thread.sleep(SHORTER_THAN_DEFERRAL_MILLIS);
+      check(client.start().answer().isEmpty(), "welcomed");
+      check(client.ask(statement("a1", "view", 900)).answer().equals("row:a1"), "served");
+    }
+  }
+}
--- a/router/src/test/java/basaltlever/net/ListenerSocketTest.java
+++ b/router/src/test/java/basaltlever/net/ListenerSocketTest.java
@@ -31,7 +31,7 @@
    */
   @Example
   void aConnectionThatHasSentNothingIsKeptOutOfTheListenQueue() throws Exception {
-    check(ListenerSocket.isAvailable(), "the native library is there on the machines of the tests");
+    check(ListenerSocket.load(), "the native library is there on the machines of the tests");
     try (ServerSocketChannel listener = ServerSocketChannel.open()) {
       listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
       listener.configureBlocking(false);
