--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 import os
 import random
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import standins as s
@@ -62,26 +63,41 @@
 
 
 async def post(record, port, number):
-    """One client posts its fares: all at once, or without the trouble each after the answer."""
+    """One client posts its fares: all at once, or without the trouble each after the answer.
+
+    Returns the answers, and when the last byte of the last command had been written.
+    """
     client = await s.Client(port).open()
+    # With these limits drain() returns once the system has taken every byte.
+    client.writer.transport.set_write_buffer_limits(high=0)
     statements = [f"{number * 100 + place:016x}" for place in range(COMMANDS)]
     answers = {}
-    if s.trouble():
+    written = asyncio.get_running_loop().create_future()
+
+    async def write():
         client.writer.write(b"".join(s.query(fare_post(statement)) for statement in statements))
         for statement in statements:
-            record.line("client", f"sent {statement}")
+            record.line("client", f"sends {statement}")
+        try:
+            await client.writer.drain()
+            record.line("client", "has written the last byte of the last command")
+            written.set_result(time.monotonic())
+        except ConnectionError:
+            written.set_result(None)
+
+    writing = asyncio.create_task(write()) if s.trouble() else None
     for statement in statements:
         if s.trouble():
             answer = await asyncio.wait_for(client.answer(), 10)
         else:
-            record.line("client", f"sent {statement}")
+            record.line("client", f"sends {statement}")
             answer = await asyncio.wait_for(client.ask(fare_post(statement)), 10)
-        answers[statement] = answer
+        answers[statement] = (answer, time.monotonic())
         record.line("client", f"got for {statement}: {answer}")
-    # The client has written the last byte of each command: the router has taken them.
-    await client.writer.drain()
+    if writing is not None:
+        await writing
     client.close()
-    return answers
+    return answers, written.result() if written.done() else None
 
 
 async def case(record):
@@ -95,12 +111,19 @@
     await discovery.listen()
     router = s.Router(record, discovery, SETTINGS)
     answers = {}
+    broken = []
     try:
         await router.start()
         await router.ready()
         await asyncio.sleep(1)
         for number in range(1, ROUNDS + 1):
-            answers.update(await post(record, router.port, number))
+            posted, written_at = await post(record, router.port, number)
+            answers.update({statement: answer for statement, (answer, _) in posted.items()})
+            broken += [
+                f"{statement} was taken and never answered: the router ended the connection"
+                for statement, (answer, ended_at) in posted.items()
+                if answer.kind == "none" and written_at is not None and written_at < ended_at
+            ]
             await asyncio.sleep(0.5)
     finally:
         await router.end()
@@ -109,8 +132,7 @@
                        f"refused {kinds.count('refused')}, no answer {kinds.count('none')}")
     if kinds.count("served") < ROUNDS:
         raise s.CouldNotRun("hardly anything was served")
-    return [f"{statement} was taken and never answered: the router ended the connection"
-            for statement, answer in sorted(answers.items()) if answer.kind == "none"]
+    return broken
 
 
 s.main(os.path.dirname(os.path.abspath(__file__)), case)
