Review: only a verdict exits with 1, and a signal ends a case's processes

A fault of a script or a signal now exits with 2 and still ends the router it started (shown by SIGTERM to review/3/run.sh).

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -388,12 +388,20 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def run(case, record):
+    """Runs a case for 110 s at most; a signal to end it ends its processes too."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(case(record), 110)
+
+
 def main(folder, case):
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(folder)
     code = 2
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record), 110))
+        broken = asyncio.run(run(case, record))
         for line in broken:
             record.line("rule", "BROKEN " + line)
         code = 1 if broken else 0
@@ -402,7 +410,8 @@
         print(f"{verdict}, trouble {'on' if trouble() else 'off'}")
         for line in broken[:5]:
             print("  " + line)
-    except (CouldNotRun, OSError, asyncio.TimeoutError) as fault:
+    except (Exception, asyncio.CancelledError) as fault:
+        # Only a verdict may exit with 1.
         record.line("verdict", f"could not run: {fault!r}")
         print(f"could not run: {fault!r}")
     finally:
