A fresh read that a former primary has run counts as one that may have run

Cause: StatementRouter.checkFreshness replaced COMPLETED by MISS where a replica answered. The row may be stale and is rightly kept back, but MISS proves that nothing ran, so no possible execution was recorded, and AttemptPolicy and StatementCompletion allowed another attempt and a rejection.

Change: the outcome STALE: answered by the endpoint, and executed. Idempotent reads are read again as before, deduplicated ones within their window, the rest is aborted at once. The outcome is set in the step that takes in the answer, before any decision, so no order of later events matters.

--- a/router/src/main/java/basaltlever/balancer/AttemptResults.java
+++ b/router/src/main/java/basaltlever/balancer/AttemptResults.java
@@ -38,7 +38,7 @@
     if (outcome == AttemptOutcome.NEVER_SENT) {
       statement.restartCapacityWait(context.now(), context.scanDelay().total(context.now()));
     }
-    if (outcome == AttemptOutcome.MISS) {
+    if (outcome == AttemptOutcome.MISS || outcome == AttemptOutcome.STALE) {
       statement.recordStaleResponse();
     }
     health.recordError(statement, attempt, outcome);
--- a/router/src/main/java/basaltlever/balancer/EndpointHealth.java
+++ b/router/src/main/java/basaltlever/balancer/EndpointHealth.java
@@ -134,7 +134,7 @@
       Endpoint endpoint, Statement statement, AttemptOutcome outcome, Span duration) {
     switch (outcome) {
       case FULL -> recordFullQueue(endpoint);
-      case COMPLETED, ERROR, MISS -> recordAnswer(endpoint, outcome);
+      case COMPLETED, ERROR, MISS, STALE -> recordAnswer(endpoint, outcome);
       case RESET, NO_CONNECTION -> {
         recordFailure(endpoint, 1);
         markDown(endpoint);
--- a/router/src/main/java/basaltlever/core/StatementRouter.java
+++ b/router/src/main/java/basaltlever/core/StatementRouter.java
@@ -233,15 +233,16 @@
   }
 
   /**
-   * Replaces the outcome of a fresh read by {@code MISS} if a replica answered it, because the
-   * replica may lack required data.
+   * Replaces the outcome of a fresh read by {@code STALE} if a replica answered it, because the
+   * replica may lack required data. The read was executed all the same, which matters unless it is
+   * idempotent.
    */
   private AttemptOutcome checkFreshness(int slot, AttemptOutcome outcome, Role role) {
     boolean mayBeStale =
         outcome == AttemptOutcome.COMPLETED
             && role == Role.REPLICA
             && balancer.requiresFreshData(slot);
-    return mayBeStale ? AttemptOutcome.MISS : outcome;
+    return mayBeStale ? AttemptOutcome.STALE : outcome;
   }
 
   /** Called when a poll ends. */
--- a/router/src/main/java/basaltlever/gateway/AttemptOutcome.java
+++ b/router/src/main/java/basaltlever/gateway/AttemptOutcome.java
@@ -13,6 +13,11 @@
   /** This router had no free file descriptor; no evidence about the state of the endpoint. */
   NO_DESCRIPTOR(true, false),
   MISS(true, true),
+  /**
+   * The endpoint completed a fresh read but reported itself a replica, so its row may lack required
+   * data. The statement was executed.
+   */
+  STALE(false, true),
   UNKNOWN(false, false);
 
   /** Whether the outcome itself proves that the statement was not executed. */
