A copy of an answer is told from the answer to the next query by an empty query ahead of it

Cause: nothing in an answer names its query, and PooledConnection took whatever came while a query was out for its answer. A copy still on its way when the next query went out was served to that, and the connection stayed one answer behind. docs/endings.md had this as known and left.

Change: an empty query goes ahead of each query but a connection's first, in the same write. pg.ResponseBoundary passes over whole answers before the reply to it; after anything else there the attempt ends as one that may have run. Also an error before a row proves nothing, like an error behind one. Stand-ins answer empty queries; the laboratory's does so while its server hangs, as the statement behind it is answered later.

Why it holds: by the order of bytes on one connection. It would come back if a server wrote an answer once more after it had replied to the next empty query.

--- a/lab/src/main/java/basaltlever/lab/SimulatedGroup.java
+++ b/lab/src/main/java/basaltlever/lab/SimulatedGroup.java
@@ -56,7 +56,9 @@
         boolean isPoll = queryText.length < 20;
         out = Unpooled.buffer();
         long now = System.currentTimeMillis();
-        if (isPoll) {
+        if (queryText.length == 1) {
+          MessageEncoder.writeEmptyQueryResponse(out);
+        } else if (isPoll) {
           writeRow(
               out,
               String.format(
--- a/lab/src/main/java/basaltlever/lab/sockets/ImmediateBackend.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/ImmediateBackend.java
@@ -95,8 +95,13 @@
           MessageEncoder.writeStartupResponse(out);
         } else {
           long now = System.currentTimeMillis();
-          boolean isPoll =
-              message.getByte(message.readerIndex() + MessageDecoder.HEADER_BYTES) == 'S';
+          byte firstByte = message.getByte(message.readerIndex() + MessageDecoder.HEADER_BYTES);
+          if (firstByte == 0) {
+            MessageEncoder.writeEmptyQueryResponse(out);
+            MessageEncoder.writeReadyForQuery(out);
+            continue;
+          }
+          boolean isPoll = firstByte == 'S';
           RowEncoder.writeSingleRow(
               out,
               isPoll
--- a/lab/src/main/java/basaltlever/lab/sockets/ServerSocketAdapter.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/ServerSocketAdapter.java
@@ -178,7 +178,7 @@
           return;
         }
         cancelPending = server.execute(statement, new ConnectionReply(context));
-      } else if (!server.isHung()) {
+      } else if (query.isBlank() || !server.isHung()) {
         context.writeAndFlush(internalQueryResponse(context, query));
       }
     }
--- a/router/src/main/java/basaltlever/log/Counter.java
+++ b/router/src/main/java/basaltlever/log/Counter.java
@@ -56,6 +56,8 @@
    * the traffic needs.
    */
   NODE_CONNECTION_EVICTED,
+  /** An endpoint sent a response that no query had requested, such as a copy of the one before. */
+  NODE_RESPONSE_UNREQUESTED,
   /** The response on this connection is no longer awaited, or can't be trusted. */
   NODE_CONNECTION_ABANDONED,
   /** An attempt was not started since no file descriptor was free. */
--- a/router/src/main/java/basaltlever/net/PooledConnection.java
+++ b/router/src/main/java/basaltlever/net/PooledConnection.java
@@ -9,6 +9,7 @@
 import basaltlever.pg.ProtocolCodes;
 import basaltlever.pg.ProtocolException;
 import basaltlever.pg.QueryResponse;
+import basaltlever.pg.ResponseBoundary;
 import basaltlever.time.Moment;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -41,6 +42,14 @@
   private State state = State.OPENING;
   private ServerQuery query;
   private QueryResponse response;
+
+  /**
+   * Where the response to the query begins; null if it is the first one on this connection, before
+   * which there is no response that could be repeated.
+   */
+  private ResponseBoundary boundary;
+
+  private boolean hasCarriedQuery;
   private PeerTimeout connectTimeout;
   private Moment idleSince;
 
@@ -98,6 +107,11 @@
     nextQuery.attachTo(this);
     response = new QueryResponse();
     ByteBuf out = channel.alloc().buffer();
+    if (hasCarriedQuery) {
+      boundary = new ResponseBoundary();
+      ResponseBoundary.writeEmptyQuery(out);
+    }
+    hasCarriedQuery = true;
     nextQuery.write(out);
     channel
         .writeAndFlush(out)
@@ -139,12 +153,7 @@
   private void handleMessage(ByteBuf message) throws ProtocolException {
     byte type = message.getByte(message.readerIndex());
     if (state == State.BUSY) {
-      if (response.add(message)) {
-        onResponseComplete();
-      } else if (response.isUnusable()) {
-        throw new ProtocolException(
-            ProtocolCodes.PROTOCOL_VIOLATION, "a response is malformed or exceeds its size limit");
-      }
+      handleResponseMessage(message);
     } else if (type == ProtocolCodes.READY_FOR_QUERY
         && state == State.OPENING
         && !startupCompleted) {
@@ -172,6 +181,18 @@
     }
   }
 
+  private void handleResponseMessage(ByteBuf message) throws ProtocolException {
+    boolean responseBegun = boundary == null || boundary.isReached();
+    if (!responseBegun && !QueryResponse.isFatalError(message)) {
+      boundary.add(message);
+    } else if (response.add(message)) {
+      onResponseComplete();
+    } else if (response.isUnusable()) {
+      throw new ProtocolException(
+          ProtocolCodes.PROTOCOL_VIOLATION, "a response is malformed or exceeds its size limit");
+    }
+  }
+
   private static boolean isAuthenticationOk(ByteBuf message) {
     return message.readableBytes() == MessageDecoder.HEADER_BYTES + 4
         && message.getInt(message.readerIndex() + MessageDecoder.HEADER_BYTES) == 0;
@@ -181,21 +202,35 @@
     ServerQuery finishedQuery = query;
     QueryResponse completeResponse = response;
     response = null;
-    if (decoder.bufferedBytes() == 0
-        && (completeResponse.isSingleRow() || completeResponse.sqlState() != null)) {
+    boolean followsUnrequested = boundary != null && boundary.unrequestedResponses() > 0;
+    boundary = null;
+    String violation = findViolation(completeResponse, followsUnrequested);
+    if (violation == null) {
       markIdle();
       finishedQuery.complete(completeResponse);
       pool.returnIdle(this);
     } else {
-      // A valid response is used, but unrequested bytes after it would be taken for the next
-      // response.
-      pool.logProtocolViolation(
-          "a response holds neither one row nor an error, or is followed by unrequested bytes");
+      // A valid response is used, but a server that sends more may do so again.
+      pool.logProtocolViolation(violation);
       finishedQuery.complete(completeResponse);
       close();
     }
   }
 
+  /** Returns why the connection can carry no further query; null if it can. */
+  private String findViolation(QueryResponse completeResponse, boolean followsUnrequested) {
+    if (followsUnrequested) {
+      pool.count(Counter.NODE_RESPONSE_UNREQUESTED);
+      return "a response that was not requested came before the one that was";
+    }
+    if (decoder.bufferedBytes() > 0) {
+      return "a response is followed by unrequested bytes";
+    }
+    return completeResponse.isSingleRow() || completeResponse.sqlState() != null
+        ? null
+        : "a response holds neither one row nor an error";
+  }
+
   private void markIdle() {
     state = State.IDLE;
     query = null;
@@ -272,6 +307,10 @@
     query = null;
     QueryResponse partialResponse = response;
     response = null;
+    if (boundary != null) {
+      boundary.release();
+      boundary = null;
+    }
     if (openQuery != null
         && partialResponse != null
         && partialResponse.sqlState() != null
--- a/router/src/main/java/basaltlever/pg/QueryResponse.java
+++ b/router/src/main/java/basaltlever/pg/QueryResponse.java
@@ -16,7 +16,7 @@
   private static final int MAX_TEXT_BYTES = 1_024;
 
   /** Limit for the sum of all messages of a response. */
-  private static final int MAX_RESPONSE_BYTES = 1 << 21;
+  static final int MAX_RESPONSE_BYTES = 1 << 21;
 
   /** Size of the fields after a column's name in a RowDescription. */
   private static final int COLUMN_DESCRIPTION_BYTES = 18;
@@ -27,6 +27,7 @@
   private static final int READY_MESSAGE_BYTES = MessageDecoder.HEADER_BYTES + 1;
   private static final byte TERMINATOR = 0;
   private static final char SQLSTATE_FIELD = 'C';
+  private static final char SEVERITY_FIELD = 'S';
   private static final Pattern UNIX_MILLIS = Pattern.compile("[0-9]{1,15}");
 
   /** The message types of a response of one row, in order. */
@@ -81,6 +82,7 @@
   private void addRowMessage(byte type, ByteBuf message) {
     rowInSequence &= rowMessageCount < ROW_SEQUENCE.length && ROW_SEQUENCE[rowMessageCount] == type;
     rowMessageCount++;
+    malformed |= sqlState != null;
     malformed |= rowMessageCount > ROW_SEQUENCE.length || !isWellFormed(type, message);
     if (!malformed) {
       rowBuffers.add(message.retainedSlice());
@@ -129,8 +131,8 @@
   }
 
   /**
-   * Returns the SQLSTATE if the response is exactly one error, otherwise null: an error after a row
-   * does not prove that the statement failed.
+   * Returns the SQLSTATE if the response is exactly one error, otherwise null: an error beside a
+   * row does not prove that the statement failed.
    */
   public String sqlState() {
     return malformed ? null : sqlState;
@@ -202,6 +204,12 @@
     return nameEnd >= 0 && message.writerIndex() - nameEnd - 1 == COLUMN_DESCRIPTION_BYTES;
   }
 
+  /** Returns whether the message is an error after which the server ends the connection. */
+  public static boolean isFatalError(ByteBuf message) {
+    return message.getByte(message.readerIndex()) == ProtocolCodes.ERROR_RESPONSE
+        && errorField(message, SEVERITY_FIELD).equals("FATAL");
+  }
+
   /** Returns a field of an ErrorResponse or NoticeResponse; empty if the field is missing. */
   public static String errorField(ByteBuf message, char type) {
     int fieldStart = message.readerIndex() + MessageDecoder.HEADER_BYTES;
--- a/router/src/test/java/basaltlever/LoopbackCluster.java
+++ b/router/src/test/java/basaltlever/LoopbackCluster.java
@@ -135,6 +135,14 @@
     volatile String listedLifecycle = "in_service";
     volatile boolean ignoresPolls;
 
+    /**
+     * If set, each response to a statement is sent once more, as soon as the next query has been
+     * received and before anything is done for that.
+     */
+    volatile boolean repeatsResponses;
+
+    private final Map<Socket, ByteBuf> repeatedResponses = new ConcurrentHashMap<>();
+
     /** If set, startup messages are answered once this latch is open. */
     volatile java.util.concurrent.CountDownLatch startupGate;
 
@@ -179,6 +187,10 @@
       while (in.readByte() == 'Q') {
         byte[] text = new byte[in.readInt() - 4];
         in.readFully(text);
+        ByteBuf repeatedResponse = repeatedResponses.remove(socket);
+        if (repeatedResponse != null) {
+          send(socket, repeatedResponse);
+        }
         respond(socket, new String(text, 0, text.length - 1, StandardCharsets.UTF_8));
       }
     }
@@ -186,6 +198,12 @@
     private void respond(Socket socket, String query) throws IOException {
       long now = System.currentTimeMillis();
       ByteBuf out = Unpooled.buffer();
+      if (query.isEmpty()) {
+        MessageEncoder.writeEmptyQueryResponse(out);
+        MessageEncoder.writeReadyForQuery(out);
+        send(socket, out);
+        return;
+      }
       if (query.equals("SHOW gauges")) {
         if (ignoresPolls) {
           return;
@@ -286,6 +304,9 @@
       while (response == ResponseMode.BYTE_BY_BYTE && out.isReadable()) {
         socket.getOutputStream().write(out.readByte());
       }
+      if (repeatsResponses) {
+        repeatedResponses.put(socket, out.copy());
+      }
       send(socket, out);
     }
 
@@ -597,7 +618,7 @@
     return ByteBufUtil.getBytes(out);
   }
 
-  static void writeRow(ByteBuf out, String value) {
+  public static void writeRow(ByteBuf out, String value) {
     out.writeBytes(rowDescription(1)).writeBytes(dataRow(1, value));
     MessageEncoder.writeCommandComplete(out, "SELECT 1");
   }
