The input of a client connection is a class of its own

ClientInput owns the decoder, the arrival times and the skipped messages, with their limits; the connection decides what a message means and when it is ended.

--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -3,14 +3,11 @@
 import basaltlever.log.Counter;
 import basaltlever.log.Event;
 import basaltlever.log.StatementTracer;
-import basaltlever.pg.ArrivalTimes;
 import basaltlever.pg.MemoryBudget;
-import basaltlever.pg.MessageDecoder;
 import basaltlever.pg.MessageEncoder;
 import basaltlever.pg.ProtocolCodes;
 import basaltlever.pg.ProtocolException;
 import basaltlever.pg.Query;
-import basaltlever.pg.SkippedMessages;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.buffer.ByteBuf;
@@ -27,18 +24,6 @@
 final class ClientConnection implements Descriptors.EvictableClient, ClientLifecycle.Connection {
   private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
 
-  /** Fits a value of 64 KiB in hexadecimal, with its statement. */
-  private static final int MAX_MESSAGE_BYTES = 1 << 18;
-
-  private static final int MAX_STARTUP_MESSAGE_BYTES = 1 << 13;
-
-  /**
-   * Maximum number of bytes buffered behind a statement in progress. Messages beyond this are
-   * skipped and rejected rather than left unread, since unread input would hide that the client has
-   * disconnected.
-   */
-  private static final int MAX_PIPELINED_BYTES = 1 << 20;
-
   /**
    * Timeout for the startup message, the first statement, the rest of a message and the writing of
    * a final error. Such a connection has to be ended within 3 s.
@@ -75,13 +60,9 @@
 
   private final ClientHost host;
   private final MemoryBudget budget;
-  private final MessageDecoder decoder;
+  private final ClientInput input;
   private final ClientLifecycle lifecycle = new ClientLifecycle(this);
   private ClientSocket socket;
-  private final ArrivalTimes arrivals = new ArrivalTimes();
-
-  /** When the message that is being processed arrived. */
-  private Moment messageArrivedAt = Moment.LONG_AGO;
 
   /**
    * The error that ends this connection once all complete messages before it are answered; null for
@@ -89,12 +70,6 @@
    */
   private ProtocolException deferredError;
 
-  /**
-   * The messages behind those in the decoder, which were not buffered and are rejected in their
-   * turn; null if there are none.
-   */
-  private SkippedMessages skippedMessages;
-
   private PendingStatement pendingStatement;
 
   /** After an error in the extended query protocol, messages are skipped up to the next Sync. */
@@ -151,7 +126,7 @@
     this.budget = budget;
     this.number = number;
     this.queuedSince = queuedSince;
-    decoder = new MessageDecoder(MAX_STARTUP_MESSAGE_BYTES, budget);
+    input = new ClientInput(budget);
     lastReadAt = host.now();
     silenceStart = lastReadAt;
     this.silentSince = silentSince;
@@ -205,31 +180,14 @@
   }
 
   private void buffer(ByteBuf bytes) throws ProtocolException {
-    if (skippedMessages != null) {
-      skippedMessages.add(bytes);
-      return;
-    }
-    arrivals.recordRead(
-        bytes.readableBytes(), queuedSince == null ? host.earliestArrival() : queuedSince);
+    Moment arrivedAt = queuedSince == null ? host.earliestArrival() : queuedSince;
     if (lifecycle.state() == ClientLifecycle.State.STARTING) {
-      decoder.add(bytes);
-    } else if (!decoder.addEvenIfOverBudget(bytes)) {
-      skipFurtherMessages("too many messages are under way");
-    } else if (lifecycle.isBusy() && decoder.bufferedBytes() > MAX_PIPELINED_BYTES) {
-      skipFurtherMessages("more than " + MAX_PIPELINED_BYTES + " bytes were sent ahead");
+      input.addStartupBytes(bytes, arrivedAt);
+      return;
     }
-  }
-
-  /**
-   * Buffers no more messages until those that are buffered are answered. The client has sent the
-   * skipped ones in full or is about to, so each of them is rejected in its turn.
-   */
-  private void skipFurtherMessages(String reason) throws ProtocolException {
-    host.onInvalidInput(socket.remoteAddress(), reason);
-    skippedMessages = new SkippedMessages(MAX_MESSAGE_BYTES);
-    ByteBuf incompleteMessage = decoder.removeIncompleteMessage();
-    if (incompleteMessage != null) {
-      skippedMessages.add(incompleteMessage);
+    String skipReason = input.add(bytes, arrivedAt, lifecycle.isBusy());
+    if (skipReason != null) {
+      host.onInvalidInput(socket.remoteAddress(), skipReason);
     }
   }
 
@@ -263,7 +221,7 @@
         socket.setAutoRead(
             lifecycle.isBusy()
                 || deferredError != null
-                || decoder.bufferedBytes() <= MAX_MESSAGE_BYTES);
+                || input.bufferedBytes() <= ClientInput.MAX_MESSAGE_BYTES);
       }
     } catch (ProtocolException exception) {
       endWithError(exception, CloseReason.PROTOCOL_ERROR);
@@ -280,15 +238,14 @@
         return false;
       }
       boolean starting = lifecycle.state() == ClientLifecycle.State.STARTING;
-      ByteBuf message = starting ? decoder.nextStartupMessage() : decoder.nextMessage();
+      ByteBuf message = starting ? input.nextStartupMessage() : input.nextMessage();
       if (message == null) {
-        if (skippedMessages == null || skippedMessages.isEmpty()) {
+        if (!input.hasSkippedMessage()) {
           return true;
         }
         handleSkippedMessage();
         continue;
       }
-      messageArrivedAt = arrivals.consumeMessage(message.readableBytes());
       host.onMessageRead();
       if (starting) {
         handleStartupMessage(message);
@@ -301,11 +258,7 @@
 
   /** Processes a message of which only the type is known. */
   private void handleSkippedMessage() throws ProtocolException {
-    byte type = skippedMessages.takeType();
-    if (skippedMessages.isEmpty() && !skippedMessages.hasPartialMessage()) {
-      skippedMessages = null;
-      arrivals.consumeAll();
-    }
+    byte type = input.takeSkippedMessage();
     host.onMessageRead();
     onMessageReceived();
     if (type == ProtocolCodes.QUERY) {
@@ -444,7 +397,7 @@
       }
       MessageEncoder.writeStartupResponse(out);
       socket.write(out);
-      decoder.setMaxMessageBytes(MAX_MESSAGE_BYTES);
+      input.onStarted();
       lifecycle.onStarted();
       markIdle();
     }
@@ -526,7 +479,8 @@
       }
       // The copy outlives the read buffer, since later executions send the text again.
       ByteBuf statementText = socket.alloc().buffer(text.readableBytes()).writeBytes(text);
-      pendingStatement = host.submit(this, statementText, query, workload, messageArrivedAt);
+      pendingStatement =
+          host.submit(this, statementText, query, workload, input.messageArrivedAt());
       lifecycle.onStatementSubmitted();
       host.descriptors().markBusy(this);
     } catch (ProtocolException exception) {
@@ -630,7 +584,7 @@
 
   @Override
   public boolean hasPartialMessage() {
-    return decoder.bufferedBytes() > 0 || skippedMessages != null;
+    return !input.isEmpty();
   }
 
   @Override
@@ -726,7 +680,7 @@
 
   private void onEndBegun() {
     endBegunAt = host.now();
-    int partialBytes = decoder.bufferedBytes();
+    int partialBytes = input.bufferedBytes();
     releaseStatement();
     host.onEndBegun(number, socket.remoteAddress(), lifecycle.reason(), partialBytes);
     host.descriptors().addLingeringClient(this);
@@ -818,16 +772,14 @@
     boolean wasOpen = lifecycle.isOpen();
     if (lifecycle.markClosed(closeReason) && wasOpen) {
       host.counters().increment(closeReason.counter);
-      host.trace()
-          .logClientDisconnect(socket.remoteAddress(), closeReason, decoder.bufferedBytes());
+      host.trace().logClientDisconnect(socket.remoteAddress(), closeReason, input.bufferedBytes());
       releaseStatement();
     }
   }
 
   /** Releases the buffered input and the pending statement; nothing more is processed. */
   private void releaseStatement() {
-    decoder.release();
-    skippedMessages = null;
+    input.release();
     if (messageReceived) {
       host.descriptors().onActiveClientEnded();
     }
