--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -295,6 +295,7 @@
                 file.write(operator)
         self.write(discovery, settings)
         self.process = None
+        self.ended = False
 
     def write(self, discovery, settings):
         """Replaces the start file in one piece."""
@@ -313,6 +314,8 @@
         os.replace(self.file + ".new", self.file)
 
     def start(self):
+        if self.ended:
+            raise CannotRun("the case is over")
         temporary = tempfile.mkdtemp(dir=self.folder)
         environment = dict(os.environ)
         environment.update(
@@ -360,6 +363,7 @@
         raise CannotRun("%s did not log %s: %s" % (self.name, text, self.log_text()[-2000:]))
 
     def end(self):
+        self.ended = True
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
@@ -368,6 +372,10 @@
 
 def run_case(folder, play):
     """Plays a case: exit code 1 if its rule was broken, 0 if it held, 2 if it couldn't run."""
+    def told_to_end(number, frame):
+        raise CannotRun("told to end by signal %d" % number)
+
+    signal.signal(signal.SIGTERM, told_to_end)
     record = Record(folder)
     temporary = tempfile.mkdtemp()
     routers = []
