Laboratory: served, and in time, by workload and from the client's first try

Cause: the figure in_time counts each try from its own arrival, so a router that rejects early and serves the retry looks better than one that lets the client wait as long in all. The client counts from its first try.

Change: first_tries.W, completed.W and in_time.W for each workload W; the last counts from the first try's due time, which the retries' common deadline gives. in_time stays as it is.

--- a/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
+++ b/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
@@ -231,6 +231,9 @@
   public void onStatementStarted(Statement statement) {
     if (isMeasured(statement)) {
       increment("statements");
+      if (statement.clientAttempt == 1) {
+        increment("first_tries." + statement.workload.name());
+      }
     }
     openStatements.put(statement.id, statement);
     timeSeries.onStatementStarted(statement.dueAt);
@@ -325,6 +328,12 @@
       if (!latency.isLongerThan(statement.workload.slo())) {
         increment("in_time");
       }
+      // A client counts from its first try, whose deadline its retries share.
+      Moment firstDueAt = statement.deadline.minus(statement.workload.timeout());
+      if (!now.since(firstDueAt).isLongerThan(statement.workload.slo())) {
+        increment("in_time." + statement.workload.name());
+      }
+      increment("completed." + statement.workload.name());
     }
   }
 
