Clients without a descriptor are told 150 ms, not a quarter of the longest Retry-After

Callers saw: a client turned away for lack of a descriptor was told to stay away for a quarter of MaxRetryAfter, however soon a descriptor would be free. Cause: ClientSessions.RETRY_AFTER_FRACTION, a share without a reason.

Never more than MaxRetryAfter. Two tests held the share in place (250 of 1000 ms); they ask for 150 ms now, as strictly.

--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -44,6 +44,9 @@
 
   private static final Span MIN_HALF_CLOSED_TIME_BEFORE_STATEMENT = Span.ofMillis(150);
 
+  /** Time after which any half-closed connection makes way for a client that needs a descriptor. */
+  static final Span MAX_TIME_TO_FREE_DESCRIPTOR = MIN_HALF_CLOSED_TIME_BEFORE_STATEMENT;
+
   /** After this time without a read, the socket may hold an unread end of stream. */
   private static final Span MAX_READ_AGE = Span.ofMillis(10);
 
--- a/router/src/main/java/basaltlever/net/ClientSessions.java
+++ b/router/src/main/java/basaltlever/net/ClientSessions.java
@@ -22,12 +22,6 @@
   /** Time for which an idle connection is not shed. */
   private static final Span MIN_IDLE_TIME = Span.ofMillis(2_000);
 
-  /**
-   * Fraction of the maximum retry-after time that is sent to rejected clients; descriptors are free
-   * again much sooner than the maximum.
-   */
-  private static final double RETRY_AFTER_FRACTION = 0.25;
-
   private final LoopIteration iteration;
   private final Descriptors descriptors;
   private WorkloadSlots slots;
@@ -129,8 +123,12 @@
     return retryAfter.micros() / 1_000;
   }
 
+  /**
+   * A client that is rejected for lack of a descriptor finds one once a connection that is being
+   * ended has given its own to another client.
+   */
   void setMaxRetryAfter(Span maxRetryAfter) {
-    retryAfter = maxRetryAfter.times(RETRY_AFTER_FRACTION);
+    retryAfter = ClientConnection.MAX_TIME_TO_FREE_DESCRIPTOR.shorter(maxRetryAfter);
   }
 
   /** Sets the workloads for statements that are read from now on. */
--- a/router/src/test/java/basaltlever/RouterTest.java
+++ b/router/src/test/java/basaltlever/RouterTest.java
@@ -400,7 +400,7 @@
         check(clients.get(i).readResponse().isEmpty(), "expected admission of client " + i);
       }
       check(
-          clients.get(0).readResponse().equals("error:53300:250closed"),
+          clients.get(0).readResponse().equals("error:53300:150closed"),
           "the longest idle client is closed with a retry delay");
       String answer = clients.get(149).sendQuery(statement("i1", "view", 900)).readResponse();
       check(answer.equals("row:i1"), "the newest client is served: " + answer);
@@ -465,7 +465,7 @@
           active.sendQuery(statement("n2", "view", 900)).readResponse().equals("row:n2"),
           "the active connection stays open");
       check(
-          silent.get(0).readResponse().equals("error:53300:250closed"),
+          silent.get(0).readResponse().equals("error:53300:150closed"),
           "the oldest silent connection is closed");
     } finally {
       for (Client client : silent) {
