--- a/lab/src/main/java/basaltlever/lab/BuiltInScenarios.java
+++ b/lab/src/main/java/basaltlever/lab/BuiltInScenarios.java
@@ -9,6 +9,7 @@
 final class BuiltInScenarios {
   static final List<String> NAMES =
       List.of(
+          "overload",
           "primary-changes",
           "planned-switches",
           "quiet",
--- a/lab/src/main/java/basaltlever/lab/ViewCostCommand.java
+++ b/lab/src/main/java/basaltlever/lab/ViewCostCommand.java
@@ -84,7 +84,7 @@
                   "",
                   1,
                   exported,
-                  router.groupStates(now));
+                  List.of());
         }
         exportMicros.recordValue((System.nanoTime() - startNanos) / 1_000);
       }
--- a/lab/src/test/java/basaltlever/lab/ScenarioTest.java
+++ b/lab/src/test/java/basaltlever/lab/ScenarioTest.java
@@ -167,6 +167,50 @@
     check(((Number) figures.get("recovered_95_s")).doubleValue() < 3, "" + figures);
   }
 
+  /**
+   * More load than the servers can execute must not reduce the work that they do, and costs the
+   * least important statements first.
+   */
+  @Example
+  void overloadReducesNoWorkAndServesTheMostImportantFirst() throws Exception {
+    for (long seed = 1; seed <= 3; seed++) {
+      double workAtCapacity = completedWork(runOverload(seed, 0.6));
+      for (double load : new double[] {1, 2}) {
+        Map<String, Object> figures = runOverload(seed, load);
+        check(
+            completedWork(figures) > 0.95 * workAtCapacity,
+            "seed " + seed + ", load " + load + ": less work than at capacity: " + figures);
+        check(
+            inTimeShare(figures, "fare-post") > inTimeShare(figures, "own-read")
+                && inTimeShare(figures, "own-read") > inTimeShare(figures, "balance-view"),
+            "seed " + seed + ", load " + load + ": not by importance: " + figures);
+      }
+    }
+  }
+
+  private static Map<String, Object> runOverload(long seed, double load) throws Exception {
+    Scenario scenario = scenario("overload", "seconds=10", "load=" + load);
+    Map<String, Object> figures = new VirtualRun(scenario, seed).runScenario();
+    check(scenario.violations(figures).isEmpty(), "" + scenario.violations(figures));
+    return figures;
+  }
+
+  private static double inTimeShare(Map<String, Object> figures, String workload) {
+    return number(figures, "in_time." + workload) / number(figures, "first_tries." + workload);
+  }
+
+  private static double completedWork(Map<String, Object> figures) throws Exception {
+    return scenario("overload").workloads.stream()
+        .mapToDouble(
+            workload ->
+                number(figures, "completed." + workload.name()) * workload.serviceTime().micros())
+        .sum();
+  }
+
+  private static double number(Map<String, Object> figures, String name) {
+    return ((Number) figures.get(name)).doubleValue();
+  }
+
   /** Guards against a history checker that can no longer detect a violation. */
   @Example
   void eachInjectedBugIsDetectedByItsFigure() throws Exception {
--- a/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
+++ b/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
@@ -10,10 +10,10 @@
 
 /** Decides whether a statement may have one more attempt, and how long an attempt may take. */
 final class AttemptPolicy {
-  /** An attempt is only useful if at least this many typical execution times are left. */
-  static final double MIN_USEFUL_TIME_FACTOR = 1.5;
-
-  /** Attempts allowed for every statement, whatever its priority weight. */
+  /**
+   * Attempts allowed for every statement, whatever its priority weight: the first may meet an
+   * endpoint that has just failed.
+   */
   private static final int GUARANTEED_ATTEMPTS = 2;
 
   /** An attempt that takes this many typical execution times is likely lost. */
@@ -22,12 +22,6 @@
   /** The same for writes that are safe to repeat. */
   private static final double LIKELY_LOST_WRITE_FACTOR = 2 * LIKELY_LOST_FACTOR;
 
-  /** If a late answer is worth at least this share of one in time, attempts have no timeout. */
-  private static final double MIN_LATE_VALUE_WITHOUT_TIMEOUT = 0.5;
-
-  /** If a late answer is worth more than this share, the client waits until the hold ends. */
-  private static final double MAX_LATE_VALUE_TO_TRY_OTHER_ROUTER = 0.5;
-
   private final DecisionContext context;
   private final ServiceTimes serviceTimes;
   private final EndpointHealth health;
@@ -93,7 +87,7 @@
         && (!repeatableWrite || isWithinWindow(statement, likelyLost))) {
       return likelyLost;
     }
-    return objectiveTimeout(statement);
+    return usefulTimeout(statement);
   }
 
   private boolean isSuspect(Endpoint endpoint) {
@@ -101,27 +95,48 @@
   }
 
   /**
-   * Returns a timeout if late answers have little value: a queue of late statements would delay all
-   * others.
+   * Returns until when an answer is of use to the client: until it stops waiting, or until the
+   * latency objective has passed if the deployment states that a late answer is worth nothing.
    */
-  private Span objectiveTimeout(Statement statement) {
-    Workload workload = statement.workload();
-    if (workload.lateResponseValue() < MIN_LATE_VALUE_WITHOUT_TIMEOUT
-        && workload.idempotency() == Idempotency.IDEMPOTENT) {
-      Span maxDuration = workload.latencyObjective().times(1 + 2 * workload.lateResponseValue());
-      return statement.receivedAt().plus(maxDuration).since(context.now());
-    }
-    return Span.NONE;
+  Moment usefulUntil(Statement statement) {
+    Moment clientStopsWaiting =
+        statement.clientDeadline().minus(context.settings().attemptLimits().responseMargin());
+    return isWorthlessWhenLate(statement)
+        ? clientStopsWaiting.earlier(objectiveEnd(statement))
+        : clientStopsWaiting;
+  }
+
+  /** Whether the statement's work can no longer be done within its latency objective. */
+  boolean canOnlyBeLate(Statement statement) {
+    Span work = serviceTimes.expectedWork(statement.workloadIndex(), context.now());
+    return context.now().plus(work).isAfter(objectiveEnd(statement));
+  }
+
+  private static boolean isWorthlessWhenLate(Statement statement) {
+    return statement.workload().lateResponseValue() <= 0;
+  }
+
+  private static Moment objectiveEnd(Statement statement) {
+    return statement.receivedAt().plus(statement.workload().latencyObjective());
+  }
+
+  /**
+   * Returns a timeout if the answer is of no use before the client stops waiting, and giving up
+   * leaves no doubt about an effect: further execution would only delay other statements.
+   */
+  private Span usefulTimeout(Statement statement) {
+    return isWorthlessWhenLate(statement)
+            && statement.workload().idempotency() == Idempotency.IDEMPOTENT
+        ? objectiveEnd(statement).since(context.now())
+        : Span.NONE;
   }
 
   private boolean hasTimeForRetry(Statement statement, Span timeout) {
-    double typicalMicros = serviceTimes.typicalMicros(statement.workloadIndex());
-    Moment usefulUntil = statement.receivedAt().plus(statement.workload().latencyObjective());
     return context
         .now()
         .plus(timeout)
-        .plus(new Span((long) (MIN_USEFUL_TIME_FACTOR * typicalMicros)))
-        .isBefore(usefulUntil);
+        .plus(serviceTimes.expectedWork(statement.workloadIndex(), context.now()))
+        .isBefore(usefulUntil(statement));
   }
 
   private boolean isWithinWindow(Statement statement, Span timeout) {
@@ -150,13 +165,4 @@
         ? statement.earliestPossibleExecution().plus(workload.deduplicationWindow())
         : Moment.NEVER;
   }
-
-  /**
-   * Whether the client should be left time to try another router: nothing was sent, and a late
-   * answer is worth no more than half of one in time.
-   */
-  static boolean canTryOtherRouter(Statement statement) {
-    return statement.attempts() == 0
-        && statement.workload().lateResponseValue() <= MAX_LATE_VALUE_TO_TRY_OTHER_ROUTER;
-  }
 }
--- a/router/src/main/java/basaltlever/balancer/AttemptResults.java
+++ b/router/src/main/java/basaltlever/balancer/AttemptResults.java
@@ -35,9 +35,7 @@
     if (!outcome.provesNotExecuted) {
       statement.recordPossibleExecution(sent);
     }
-    if (outcome == AttemptOutcome.NEVER_SENT) {
-      statement.restartCapacityWait(context.now(), context.scanDelay().total(context.now()));
-    }
+    statement.restartWait(context.now());
     if (outcome == AttemptOutcome.MISS || outcome == AttemptOutcome.STALE) {
       statement.recordStaleResponse();
     }
--- a/router/src/main/java/basaltlever/balancer/ConnectionUse.java
+++ b/router/src/main/java/basaltlever/balancer/ConnectionUse.java
@@ -87,6 +87,11 @@
             .hasCapacity(endpoint.load().inFlight(), endpoint.load().idleConnections());
   }
 
+  /** The estimated time until a new connection is open. */
+  Span setupTime() {
+    return new Span((long) setupMicros);
+  }
+
   /** Whether an attempt at the endpoint needs a new connection while setup is expensive. */
   boolean needsExpensiveConnection(Endpoint endpoint) {
     return !hasFreeConnection(endpoint)
--- a/router/src/main/java/basaltlever/balancer/DecisionContext.java
+++ b/router/src/main/java/basaltlever/balancer/DecisionContext.java
@@ -19,7 +19,6 @@
 
   private final DecisionSink sink;
   private final SplittableRandom random;
-  private final ScanDelay scanDelay = new ScanDelay();
   private Moment now;
   private Settings settings;
   private double highestPriorityWeight;
@@ -53,11 +52,6 @@
     return settings;
   }
 
-  /** Tracks how long scans of the open statements were overdue. */
-  ScanDelay scanDelay() {
-    return scanDelay;
-  }
-
   DecisionSink sink() {
     return sink;
   }
--- a/router/src/main/java/basaltlever/balancer/EndpointHealth.java
+++ b/router/src/main/java/basaltlever/balancer/EndpointHealth.java
@@ -21,19 +21,16 @@
 
   static final double MIN_CAPACITY_ATTEMPTS = 0.2;
   private static final double MAX_CAPACITY_ATTEMPTS = 500;
-  private static final double INITIAL_LATENCY_STRAIN = 0.25;
-  private static final double MAX_STRAIN_SAMPLE = 5;
 
-  /** Latency strain above which a busy endpoint's capacity is reduced. */
-  private static final double BUSY_STRAIN_LIMIT = 0.24;
+  /** The slowdown of an execution that does not wait in a queue of its endpoint. */
+  private static final double UNQUEUED_SLOWDOWN = 2;
 
-  /**
-   * Latency strain above which any endpoint's capacity is reduced, as timed-out statements keep
-   * running there.
-   */
-  private static final double STRAIN_LIMIT = 0.8;
+  /** Above this slowdown a statement waits at the endpoint for longer than it is executed. */
+  private static final double QUEUED_SLOWDOWN = 2;
+
+  /** One extremely slow answer must not outweigh all others. */
+  private static final double MAX_SLOWDOWN_SAMPLE = 20;
 
-  private static final double LATE_SHARE_OF_OBJECTIVE = 0.9;
   private static final Span MIN_SILENCE_TIMEOUT = Span.ofMillis(150);
   private static final Span MAX_POLL_AGE_WHEN_LATE = Timing.ONE_SECOND;
 
@@ -46,8 +43,7 @@
   private final PollScheduler polls;
   private final PrimaryTracker primaries;
   private final ConnectionUse connections;
-  private final CongestionTracker congestion;
-  private double averageLatencyStrain = INITIAL_LATENCY_STRAIN;
+  private double averageSlowdown = UNQUEUED_SLOWDOWN;
 
   EndpointHealth(
       DecisionContext context,
@@ -55,15 +51,13 @@
       SlowStart slowStart,
       PollScheduler polls,
       PrimaryTracker primaries,
-      ConnectionUse connections,
-      CongestionTracker congestion) {
+      ConnectionUse connections) {
     this.context = context;
     this.serviceTimes = serviceTimes;
     this.slowStart = slowStart;
     this.polls = polls;
     this.primaries = primaries;
     this.connections = connections;
-    this.congestion = congestion;
   }
 
   /** Share of recent attempts that the endpoint lost or answered with a failure. */
@@ -75,15 +69,15 @@
     return !(failureRate(endpoint) < OUTLIER_FAILURE_RATE);
   }
 
-  /** Recent response time divided by the latency objective. */
-  double latencyStrain(Endpoint endpoint) {
-    return averageLatencyStrain
-        + endpoint.load().excessLatencyRatio().valueAt(context.now(), Timing.SHORT_DECAY);
+  /** Recent response time of the endpoint divided by the time of an execution without a queue. */
+  double slowdown(Endpoint endpoint) {
+    return averageSlowdown
+        + endpoint.load().excessSlowdown().valueAt(context.now(), Timing.SHORT_DECAY);
   }
 
-  /** The average latency strain over all endpoints. */
-  double averageLatencyStrain() {
-    return averageLatencyStrain;
+  /** Whether statements wait at the endpoint for longer than they are executed. */
+  boolean isQueueing(Endpoint endpoint) {
+    return slowdown(endpoint) > QUEUED_SLOWDOWN;
   }
 
   /** Whether the given share of the endpoint's capacity allows one more attempt. */
@@ -107,7 +101,7 @@
     endpoint.load().abandonedAttempts().set(context.now(), abandonedAttempts(endpoint) + 1);
   }
 
-  /** Updates failure rate, latency, capacity and congestion after an attempt. */
+  /** Updates failure rate, latency and capacity after an attempt. */
   void recordAttempt(
       Endpoint endpoint, Statement statement, AttemptOutcome outcome, Span duration) {
     if (outcome == AttemptOutcome.NO_DESCRIPTOR) {
@@ -115,14 +109,10 @@
       return;
     }
     recordOutcome(endpoint, statement, outcome, duration);
-    boolean late =
-        !duration.isShorterThan(
-            statement.workload().latencyObjective().times(LATE_SHARE_OF_OBJECTIVE));
-    if (late
+    if (isLate(statement, duration)
         && context.now().since(endpoint.polling().sentAt()).isLongerThan(MAX_POLL_AGE_WHEN_LATE)) {
       polls.pollNow(endpoint);
     }
-    congestion.recordAttempt(endpoint, statement, outcome, late);
     if (outcome == AttemptOutcome.COMPLETED) {
       recordCompletion(endpoint, statement, duration);
     }
@@ -130,6 +120,11 @@
     enforceFractionalCapacity(endpoint);
   }
 
+  /** Whether the attempt alone took longer than the deployment wants a statement to take. */
+  private static boolean isLate(Statement statement, Span duration) {
+    return !duration.isShorterThan(statement.workload().latencyObjective());
+  }
+
   private void recordOutcome(
       Endpoint endpoint, Statement statement, AttemptOutcome outcome, Span duration) {
     switch (outcome) {
@@ -185,13 +180,18 @@
       // endpoint that answers other attempts is only slow.
       recordFailure(endpoint, 1);
     }
-    recordLatency(endpoint, statement, duration);
+    // An attempt that was sent with little time left says nothing of the endpoint's speed.
+    if (!serviceTimes.isKnown(statement.workloadIndex())
+        || duration.micros() >= serviceTimes.typicalMicros(statement.workloadIndex())) {
+      recordLatency(endpoint, statement, duration, true);
+    }
     polls.pollNow(endpoint);
   }
 
   private void recordCompletion(Endpoint endpoint, Statement statement, Span duration) {
-    recordLatency(endpoint, statement, duration);
-    serviceTimes.recordCompletion(statement.workloadIndex(), duration);
+    serviceTimes.recordCompletion(
+        statement.workloadIndex(), duration, isBusy(endpoint.load()), context.now());
+    recordLatency(endpoint, statement, duration, isLate(statement, duration));
     // Only answers show the capacity of an endpoint; the attempts sent may be a retry storm.
     endpoint
         .load()
@@ -210,32 +210,48 @@
     }
   }
 
-  /** Updates the latency strain, and adapts the capacity to it. */
-  private void recordLatency(Endpoint endpoint, Statement statement, Span duration) {
-    DecayingValue excessStrain = endpoint.load().excessLatencyRatio();
-    double latestStrain =
-        Math.min(MAX_STRAIN_SAMPLE, duration.ratioTo(statement.workload().latencyObjective()));
-    double strain =
-        latencyStrain(endpoint)
-            + context.eventWeight(excessStrain.updatedAt())
-                * (latestStrain - latencyStrain(endpoint));
-    averageLatencyStrain += Timing.LEARNING_RATE / 4 * (strain - averageLatencyStrain);
-    excessStrain.set(context.now(), strain - averageLatencyStrain);
-    adaptCapacity(endpoint.load(), strain, latestStrain);
+  /** Updates the slowdown, and adapts the capacity to it. */
+  private void recordLatency(
+      Endpoint endpoint, Statement statement, Span duration, boolean tooLate) {
+    DecayingValue excessSlowdown = endpoint.load().excessSlowdown();
+    double latestSlowdown = slowdownOf(statement, duration);
+    double slowdown =
+        slowdown(endpoint)
+            + context.eventWeight(excessSlowdown.updatedAt())
+                * (latestSlowdown - slowdown(endpoint));
+    averageSlowdown += Timing.LEARNING_RATE / 4 * (slowdown - averageSlowdown);
+    excessSlowdown.set(context.now(), slowdown - averageSlowdown);
+    adaptCapacity(endpoint.load(), slowdown, tooLate);
+  }
+
+  private double slowdownOf(Statement statement, Span duration) {
+    double unqueuedMicros = serviceTimes.unqueuedMicros(statement.workloadIndex());
+    return unqueuedMicros == 0
+        ? UNQUEUED_SLOWDOWN
+        : Math.min(MAX_SLOWDOWN_SAMPLE, duration.micros() / unqueuedMicros);
   }
 
-  private static void adaptCapacity(LoadState load, double strain, double latestStrain) {
-    boolean busy = load.cpuUtilization() > BUSY_UTILIZATION;
+  /**
+   * A statement that waits at a busy endpoint can't be overtaken by a more important one, so it
+   * should wait in this router. Answers that come too late also reduce the capacity of an endpoint
+   * that does not report to be busy.
+   */
+  private static void adaptCapacity(LoadState load, double slowdown, boolean tooLate) {
+    boolean busy = isBusy(load);
     double capacity = load.capacity();
-    if (Math.min(strain, latestStrain) > (busy ? BUSY_STRAIN_LIMIT : STRAIN_LIMIT)) {
-      double step = Math.min(0.3, 0.1 * capacity);
-      load.setCapacity(Math.max(MIN_CAPACITY_ATTEMPTS, capacity - step));
-    } else if (load.inFlight() + 1 > 0.7 * capacity && strain < 1.5 * BUSY_STRAIN_LIMIT) {
-      double step = load.cpuUtilization() < BUSY_UTILIZATION ? 0.5 : 1 / Math.max(2, capacity);
+    double gradualStep = Math.min(0.3, 0.1 * capacity);
+    if (tooLate || (busy && slowdown > QUEUED_SLOWDOWN)) {
+      load.setCapacity(Math.max(MIN_CAPACITY_ATTEMPTS, capacity - gradualStep));
+    } else if (load.inFlight() + 1 > 0.7 * capacity) {
+      double step = busy ? gradualStep : 0.5;
       load.setCapacity(Math.min(MAX_CAPACITY_ATTEMPTS, capacity + step));
     }
   }
 
+  private static boolean isBusy(LoadState load) {
+    return load.cpuUtilization() > BUSY_UTILIZATION;
+  }
+
   private void recordFailure(Endpoint endpoint, double severity) {
     DecayingValue failureRate = endpoint.health().failureRate();
     failureRate.moveTowards(
@@ -267,22 +283,28 @@
    * its workload.
    */
   void detectSilence(Endpoint endpoint, Statement statement, Moment sent) {
-    double expectedMicros =
-        serviceTimes.typicalMicros(statement.workloadIndex())
-            * Math.max(1, latencyStrain(endpoint) / averageLatencyStrain);
-    Span silenceTimeout =
-        new Span((long) (expectedMicros * (2 + 4.0 / Math.max(1, endpoint.load().inFlight()))))
-            .longer(MIN_SILENCE_TIMEOUT);
     if (!endpoint.health().isUnresponsive()
         && context
             .now()
             .since(endpoint.load().unansweredSince().later(sent))
-            .isLongerThan(silenceTimeout)) {
+            .isLongerThan(silenceTimeout(endpoint, statement))) {
       polls.pollNow(endpoint);
       markSilent(endpoint);
     }
   }
 
+  private Span silenceTimeout(Endpoint endpoint, Statement statement) {
+    if (!serviceTimes.isKnown(statement.workloadIndex())) {
+      // Nothing is known of the work but the time in which its answer is wanted.
+      return statement.workload().latencyObjective().longer(MIN_SILENCE_TIMEOUT);
+    }
+    double expectedMicros =
+        serviceTimes.typicalMicros(statement.workloadIndex())
+            * Math.max(1, slowdown(endpoint) / averageSlowdown);
+    return new Span((long) (expectedMicros * (2 + 4.0 / Math.max(1, endpoint.load().inFlight()))))
+        .longer(MIN_SILENCE_TIMEOUT);
+  }
+
   void markSilent(Endpoint endpoint) {
     endpoint.health().markUnresponsive(context.now());
     endpoint.group().subset().markStale();
--- a/router/src/main/java/basaltlever/balancer/EndpointModules.java
+++ b/router/src/main/java/basaltlever/balancer/EndpointModules.java
@@ -14,7 +14,6 @@
   final EvaluationQueue evaluations;
   final PrimaryTracker primaries;
   final ConnectionUse connections;
-  final CongestionTracker congestion;
   final EndpointHealth health;
   final ReplicaFreshness freshness;
   final PollResults pollResults;
@@ -30,10 +29,7 @@
     evaluations = new EvaluationQueue();
     primaries = new PrimaryTracker(context, table, subsets, slowStart, polls, evaluations);
     connections = new ConnectionUse(context, serviceTimes);
-    congestion = new CongestionTracker(context);
-    health =
-        new EndpointHealth(
-            context, serviceTimes, slowStart, polls, primaries, connections, congestion);
+    health = new EndpointHealth(context, serviceTimes, slowStart, polls, primaries, connections);
     freshness = new ReplicaFreshness(context);
     pollResults = new PollResults(context, polls, health, freshness, primaries);
   }
--- a/router/src/main/java/basaltlever/balancer/GroupPolling.java
+++ b/router/src/main/java/basaltlever/balancer/GroupPolling.java
@@ -112,8 +112,8 @@
   private boolean hasRegularTraffic(ReplicaGroup group) {
     double perSecond = statementsPerSecond(group);
     // The lookup of the endpoints in use may reselect them, so it must not depend on the rate.
-    boolean affordable = scheduler.isPollingAffordable(group, perSecond);
-    return perSecond > REGULAR_STATEMENTS_PER_SECOND && affordable;
+    boolean useful = scheduler.isPollingUseful(group, perSecond);
+    return perSecond > REGULAR_STATEMENTS_PER_SECOND && useful;
   }
 
   private double statementsPerSecond(ReplicaGroup group) {
--- a/router/src/main/java/basaltlever/balancer/LearnedStateTransfer.java
+++ b/router/src/main/java/basaltlever/balancer/LearnedStateTransfer.java
@@ -6,11 +6,8 @@
 import basaltlever.model.LoadState;
 import basaltlever.model.ReplicaGroup;
 import basaltlever.snapshot.EndpointState;
-import basaltlever.snapshot.GroupState;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
-import java.util.Comparator;
-import java.util.List;
 
 /**
  * Exports the learned state of endpoints and groups as records that outlive this process, and
@@ -54,7 +51,7 @@
         healthState.isUnresponsive(),
         healthState.isDown() ? timeSince(healthState.downSince()) : EndpointState.NEVER,
         Math.min(1, health.failureRate(endpoint)),
-        endpoint.load().excessLatencyRatio().valueAt(at, Timing.SHORT_DECAY),
+        endpoint.load().excessSlowdown().valueAt(at, Timing.SHORT_DECAY),
         endpoint.load().capacity(),
         healthState.consecutiveQueueFullResponses(),
         healthState.backoffUntil().since(at).longer(Span.NONE),
@@ -68,20 +65,6 @@
     return table.endpoint(id).load().inFlight();
   }
 
-  /** Returns the learned state of all groups. */
-  public List<GroupState> groupStates(Moment at) {
-    context.advanceTo(at);
-    return table.groups().stream()
-        .sorted(Comparator.comparingInt(ReplicaGroup::number))
-        .map(
-            group ->
-                new GroupState(
-                    group.number(),
-                    group.replicaCongestion().valueAt(at, Timing.LONG_DECAY),
-                    group.primaryCongestion().valueAt(at, Timing.LONG_DECAY)))
-        .toList();
-  }
-
   /**
    * Restores the state of a newly listed endpoint from another process; the caller has adjusted it
    * for its age. Restored state can only increase caution: positions, the primary role and
@@ -115,11 +98,11 @@
     LoadState load = endpoint.load();
     HealthState healthState = endpoint.health();
     healthState.failureRate().set(now, Math.max(health.failureRate(endpoint), state.failureRate()));
-    load.excessLatencyRatio()
+    load.excessSlowdown()
         .set(
             now,
             Math.max(
-                load.excessLatencyRatio().valueAt(now, Timing.SHORT_DECAY), state.latencyStrain()));
+                load.excessSlowdown().valueAt(now, Timing.SHORT_DECAY), state.latencyStrain()));
     load.setCapacity(
         Math.max(
             EndpointHealth.MIN_CAPACITY_ATTEMPTS, Math.min(load.capacity(), state.capacity())));
@@ -153,27 +136,6 @@
     }
   }
 
-  /** Restores the congestion of a group from another process. */
-  public void restore(Moment at, GroupState state) {
-    context.advanceTo(at);
-    ReplicaGroup group = table.findGroup(state.group());
-    if (group != null) {
-      group
-          .replicaCongestion()
-          .set(
-              at,
-              Math.max(
-                  group.replicaCongestion().valueAt(at, Timing.LONG_DECAY), state.congestion()));
-      group
-          .primaryCongestion()
-          .set(
-              at,
-              Math.max(
-                  group.primaryCongestion().valueAt(at, Timing.LONG_DECAY),
-                  state.primaryCongestion()));
-    }
-  }
-
   private Span timeSince(Moment moment) {
     return moment.isAfter(Moment.LONG_AGO) ? context.now().since(moment) : EndpointState.NEVER;
   }
--- a/router/src/main/java/basaltlever/balancer/LoadBalancer.java
+++ b/router/src/main/java/basaltlever/balancer/LoadBalancer.java
@@ -218,8 +218,7 @@
                 request.clientDeadline(),
                 endpoints.freshness.requiredPosition(
                     workload, request.session(), request.lastCommit()),
-                request.textBytes(),
-                context.scanDelay().total(at)),
+                request.textBytes()),
             endpoints.table.getOrCreateGroup(request.group()),
             context.settings().attemptLimits().maxAttempts(),
             context.random().nextDouble());
@@ -309,7 +308,7 @@
     context.advanceTo(at);
     Statement statement = statements.openStatements.statement(id);
     if (statement != null && !statement.isFinished()) {
-      statements.completion.rejectOrAbort(statement, false, RejectReason.OVERDUE);
+      statements.completion.rejectOrAbort(statement, RejectReason.OVERDUE);
     }
     applyRules();
   }
--- a/router/src/main/java/basaltlever/balancer/LongReadPlacement.java
+++ b/router/src/main/java/basaltlever/balancer/LongReadPlacement.java
@@ -18,12 +18,6 @@
   /** A read is long if it takes more than this many times as long as a typical statement. */
   private static final double LONG_READ_FACTOR = 2;
 
-  /**
-   * Excess over the average latency strain above which a replica is overloaded and another takes
-   * its long reads.
-   */
-  private static final double OVERLOAD_STRAIN = 0.2;
-
   private static final Comparator<Endpoint> BY_RING_ORDER =
       Comparator.comparingInt(Endpoint::ringOrder);
 
@@ -49,8 +43,7 @@
   /** Whether statements of the workload are long reads. */
   boolean isLongRead(int workloadIndex) {
     return context.settings().workloads()[workloadIndex].consistency() == ReadConsistency.ANY
-        && serviceTimes.typicalMicros(workloadIndex)
-            > LONG_READ_FACTOR * serviceTimes.overallMicros();
+        && serviceTimes.ratioToOthers(workloadIndex) > LONG_READ_FACTOR;
   }
 
   /**
@@ -90,7 +83,6 @@
   }
 
   private boolean shouldReplace(Endpoint replica, Endpoint overloaded) {
-    return health.latencyStrain(overloaded) > health.averageLatencyStrain() + OVERLOAD_STRAIN
-        && health.latencyStrain(replica) < health.latencyStrain(overloaded);
+    return health.isQueueing(overloaded) && health.slowdown(replica) < health.slowdown(overloaded);
   }
 }
--- a/router/src/main/java/basaltlever/balancer/OpenStatements.java
+++ b/router/src/main/java/basaltlever/balancer/OpenStatements.java
@@ -64,7 +64,6 @@
 
   private void scheduleScan(Moment at) {
     nextScanAt = at;
-    context.scanDelay().recordSchedule(at);
   }
 
   Moment nextScanAt() {
@@ -87,7 +86,6 @@
    * Scans the open statements; finished ones are removed and their groups passed to the callback.
    */
   void scan(Consumer<ReplicaGroup> onFinished) {
-    context.scanDelay().recordScan(context.now());
     for (int i = open.size() - 1; i >= 0; i--) {
       Statement statement = open.get(i);
       boolean stuck = isStuck(statement);
@@ -128,6 +126,9 @@
 
   private void scanQueued(Statement statement) {
     evaluations.add(statement.group());
+    if (!statement.isLate() && attempts.canOnlyBeLate(statement)) {
+      dispatcher.lowerPriority(statement);
+    }
     if (statement.workload().requiresPrimary() && admission.isOverdue(statement)) {
       completion.removeFromHold(statement);
       dispatcher.add(statement);
--- a/router/src/main/java/basaltlever/balancer/PollScheduler.java
+++ b/router/src/main/java/basaltlever/balancer/PollScheduler.java
@@ -13,8 +13,8 @@
 
 /**
  * Decides when each endpoint is polled: often enough to prove replicas fresh within the tightest
- * staleness bound, as long as the price of the polls stays below a share of this router's own
- * traffic.
+ * staleness bound, but no more often than this router sends it statements. A report that no
+ * statement uses helps no client, and the polls of many routers take CPU from statements.
  */
 final class PollScheduler {
   static final Span MIN_INTERVAL = Span.ofMillis(100);
@@ -23,9 +23,6 @@
   /** Interval between polls while the primary is unknown or a switchover is in progress. */
   static final Span HOLD_INTERVAL = Span.ofMillis(200);
 
-  /** Maximum price of all polls, as a share of the worth of the statements sent. */
-  private static final double POLL_PRICE_SHARE = 0.005;
-
   private static final double MIN_POLLS_PER_SECOND = 1e-3;
   private static final int MAX_BACKOFF_DOUBLINGS = 7;
 
@@ -163,19 +160,19 @@
 
   /** The nominal time between two polls of an endpoint. */
   Span interval(Endpoint endpoint) {
-    if (context.settings().identity().pollCost() <= 0) {
-      return freshnessInterval;
-    }
-    double statementsPerSecond =
-        endpoint.group().statementRate().valueAt(context.now(), Timing.LONG_DECAY)
-            / Math.max(1, subsets.endpointsInUse(endpoint.group()).size());
+    ReplicaGroup group = endpoint.group();
     double pollsPerSecond =
-        POLL_PRICE_SHARE / context.settings().identity().pollCost() * statementsPerSecond;
+        pollsPerSecond(group, group.statementRate().valueAt(context.now(), Timing.LONG_DECAY));
     return Span.ofMillis(1_000 / Math.max(MIN_POLLS_PER_SECOND, pollsPerSecond))
         .longer(freshnessInterval)
         .shorter(MAX_INTERVAL);
   }
 
+  /** One poll for each statement, spread over the endpoints in use. */
+  private double pollsPerSecond(ReplicaGroup group, double statementsPerSecond) {
+    return statementsPerSecond / Math.max(1, subsets.endpointsInUse(group).size());
+  }
+
   /**
    * The delay before the next poll of an endpoint that missed polls; it doubles with each one
    * missed.
@@ -185,16 +182,9 @@
     return HOLD_INTERVAL.times(1 << doublings).shorter(interval(endpoint));
   }
 
-  /** Whether the group's traffic is sufficient to pay for polls at the maximum interval. */
-  boolean isPollingAffordable(ReplicaGroup group, double statementsPerSecond) {
-    double price = context.settings().identity().pollCost();
-    double pollsPerSecond =
-        price <= 0
-            ? statementsPerSecond
-            : POLL_PRICE_SHARE
-                / price
-                * statementsPerSecond
-                / Math.max(1, subsets.endpointsInUse(group).size());
-    return pollsPerSecond * MAX_INTERVAL.ratioTo(Timing.ONE_SECOND) >= 1;
+  /** Whether the group's traffic uses the reports of polls at the maximum interval. */
+  boolean isPollingUseful(ReplicaGroup group, double statementsPerSecond) {
+    return pollsPerSecond(group, statementsPerSecond) * MAX_INTERVAL.ratioTo(Timing.ONE_SECOND)
+        >= 1;
   }
 }
--- a/router/src/main/java/basaltlever/balancer/PrimarySelector.java
+++ b/router/src/main/java/basaltlever/balancer/PrimarySelector.java
@@ -64,9 +64,13 @@
         || !context.settings().attemptLimits().pollingEnabled();
   }
 
-  private static boolean isIdleEnough(Endpoint primary, Statement statement) {
+  /**
+   * Whether the primary has CPU to spare, and no statement that only it can execute waits there.
+   */
+  private boolean isIdleEnough(Endpoint primary, Statement statement) {
     double idle = MAX_UTILIZATION_FOR_READS - primary.load().cpuUtilization();
-    return statement.randomShare() < READ_SHARE_PER_IDLE_UTILIZATION * idle;
+    return !health.isQueueing(primary)
+        && statement.randomShare() < READ_SHARE_PER_IDLE_UTILIZATION * idle;
   }
 
   /** Whether another waiting statement must get the primary's capacity first. */
--- a/router/src/main/java/basaltlever/balancer/ReplicaSelector.java
+++ b/router/src/main/java/basaltlever/balancer/ReplicaSelector.java
@@ -17,11 +17,8 @@
   /** After this many rejections of a read as too stale, lag estimates are not used for it. */
   private static final int MAX_STALE_ANSWERS = 2;
 
-  /** Share of the latency objective for which a read waits for an open connection. */
-  private static final double CONNECTION_WAIT_SHARE = 0.8 * AdmissionControl.CAPACITY_WAIT_SHARE;
-
-  /** Factor on the load score of an endpoint in another zone if crossing zones has a price. */
-  private static final double CROSSING_LOAD_FACTOR = 1.3;
+  /** Load scores that differ by no more than this share are considered equal. */
+  private static final double TIE_RANGE = 0.05;
 
   private final DecisionContext context;
   private final GroupSubsets subsets;
@@ -31,6 +28,7 @@
   private final SlowStart slowStart;
   private final PollScheduler polls;
   private final ConnectionUse connections;
+  private final ServiceTimes serviceTimes;
   private final LongReadPlacement longReads;
   private final PrimarySelector primarySelector;
 
@@ -47,6 +45,7 @@
     this.slowStart = endpoints.slowStart;
     this.polls = endpoints.polls;
     this.connections = endpoints.connections;
+    this.serviceTimes = endpoints.serviceTimes;
     this.longReads = longReads;
     this.primarySelector = primarySelector;
   }
@@ -85,18 +84,17 @@
   /** Returns a load score for comparing replicas; the lower the better. */
   private double loadScore(Endpoint endpoint) {
     LoadState load = endpoint.load();
-    double zoneFactor =
-        context.settings().identity().hasCrossZoneCostTo(endpoint.zone())
-            ? CROSSING_LOAD_FACTOR
-            : 1;
     return (load.inFlight() + 1)
-        * health.latencyStrain(endpoint)
+        * health.slowdown(endpoint)
         * (1 + 2 * load.cpuUtilization() * load.cpuUtilization())
         * (1 + 10 * health.failureRate(endpoint))
-        * zoneFactor
         / endpoint.relativeSize();
   }
 
+  private boolean isInOwnZone(Endpoint endpoint) {
+    return endpoint.zone() == context.settings().identity().zone();
+  }
+
   /** The candidate replicas for one read: two sampled at random from the best tier. */
   private final class Candidates {
     /** A tier is a sum of these penalties; replicas of the lowest available tier are sampled. */
@@ -187,23 +185,34 @@
       }
     }
 
-    /** Whether a connection will likely be free before a new one would be open. */
+    /**
+     * Whether a connection will likely be free before a new one would be open: the attempts in
+     * flight end one after the other, each after its typical time.
+     */
     boolean shouldWaitForConnection() {
+      Span setupTime = connections.setupTime();
       return connections.needsExpensiveConnection(first)
           && inFlight > 0
-          && context
-              .now()
-              .since(statement.receivedAt())
-              .isShorterThan(statement.workload().latencyObjective().times(CONNECTION_WAIT_SHARE));
+          && serviceTimes.overallMicros() / inFlight < setupTime.micros()
+          && context.now().since(statement.waitingSince()).isShorterThan(setupTime);
     }
 
     /**
-     * Returns the less loaded replica. The small random factor keeps routers from breaking ties
-     * identically.
+     * Returns the less loaded replica. Of two that are about equally loaded the one in this
+     * router's zone answers sooner; otherwise chance keeps routers from breaking ties identically.
      */
     Endpoint lessLoaded() {
-      double tieBreak = 0.95 + 0.1 * context.random().nextDouble();
-      return second == null || loadScore(first) * tieBreak < loadScore(second) ? first : second;
+      if (second == null) {
+        return first;
+      }
+      double ratio = loadScore(first) / loadScore(second);
+      if (Math.abs(ratio - 1) > TIE_RANGE) {
+        return ratio < 1 ? first : second;
+      }
+      if (isInOwnZone(first) != isInOwnZone(second)) {
+        return isInOwnZone(first) ? first : second;
+      }
+      return context.random().nextBoolean() ? first : second;
     }
   }
 }
--- a/router/src/main/java/basaltlever/balancer/SlowStart.java
+++ b/router/src/main/java/basaltlever/balancer/SlowStart.java
@@ -57,16 +57,16 @@
    */
   void recordStart(Endpoint endpoint, Moment at) {
     if (at.isAfter(endpoint.warmUp().startedAt())) {
-      double initialCharge = context.random().nextDouble() * serviceTimes.overallMicros();
-      endpoint.warmUp().recordStart(at, context.now(), initialCharge);
+      endpoint.warmUp().recordStart(at, context.now(), context.random().nextDouble());
     }
   }
 
   /** Charges an attempt against the budget while the endpoint is warming up. */
   void chargeAttempt(Endpoint endpoint, Statement statement) {
     if (isWarmingUp(endpoint)) {
-      double work = serviceTimes.typicalMicros(statement.workloadIndex());
-      endpoint.warmUp().charge(context.now(), remainingCharge(endpoint) + work);
+      endpoint
+          .warmUp()
+          .charge(context.now(), remainingCharge(endpoint) + typicalStatements(statement));
     }
   }
 
@@ -74,84 +74,88 @@
   void restoreCharge(Endpoint endpoint, double chargedStatements, Moment chargedAt) {
     // The budget refills at the minimum rate, because the rate of warm endpoints is not yet known.
     double refilled =
-        allowedWorkPerSecond(endpoint)
+        allowedPerSecond(endpoint)
             * (1 - BURST_SHARE)
             * context.now().since(chargedAt).ratioTo(Timing.ONE_SECOND);
-    double total =
-        Math.max(
-            remainingCharge(endpoint), chargedStatements * serviceTimes.overallMicros() - refilled);
+    double total = Math.max(remainingCharge(endpoint), chargedStatements - refilled);
     endpoint.warmUp().restore(context.now(), total, chargedStatements <= 0);
   }
 
+  /** The work of the statement, in typical statements. */
+  private double typicalStatements(Statement statement) {
+    return serviceTimes.typicalMicros(statement.workloadIndex()) / serviceTimes.overallMicros();
+  }
+
   /** Whether the endpoint is warm, or its budget allows the statement. */
   boolean allows(Endpoint endpoint, Statement statement) {
-    return warmUpShare(endpoint) >= 1
-        || hasBudget(endpoint, serviceTimes.typicalMicros(statement.workloadIndex()))
-        || isAdmittedAsFirst(endpoint, statement);
+    return !isWarmingUp(endpoint) || hasBudget(endpoint, typicalStatements(statement));
   }
 
-  private boolean hasBudget(Endpoint endpoint, double workMicros) {
+  private boolean hasBudget(Endpoint endpoint, double statements) {
     double burst =
-        allowedWorkPerSecond(endpoint)
+        allowedPerSecond(endpoint)
             * BURST_SHARE
             * context.settings().slowStart().overloadTime().ratioTo(Timing.ONE_SECOND);
-    return remainingCharge(endpoint) <= 0 || remainingCharge(endpoint) + workMicros <= burst;
-  }
-
-  /**
-   * Whether a newly received statement may go to an endpoint to which this router has sent nothing
-   * since the endpoint's start. Routers with little traffic would otherwise wait longer than the
-   * warm-up takes before their budgets allow one statement. Arrivals at the routers are naturally
-   * spread over time; thinned out at random, their sum stays within the budget. Statements that
-   * have waited are excluded: all routers may hold some and would send them simultaneously.
-   */
-  private boolean isAdmittedAsFirst(Endpoint endpoint, Statement statement) {
-    if (!endpoint.warmUp().isUnusedSinceStart()
-        || statement.attempts() > 0
-        || !statement.receivedAt().equals(context.now())) {
-      return false;
-    }
-    double share =
-        statement.workload().requiresPrimary()
-            ? SAFETY_FACTOR
-                * context.settings().slowStart().overloadFactor()
-                * warmUpShare(endpoint)
-            : warmUpShare(endpoint);
-    return context.random().nextDouble() < share;
+    return remainingCharge(endpoint) <= 0 || remainingCharge(endpoint) + statements <= burst;
   }
 
   private double remainingCharge(Endpoint endpoint) {
     WarmUpState warmUp = endpoint.warmUp();
     double refilled =
-        allowedWorkPerSecond(endpoint)
+        allowedPerSecond(endpoint)
             * (1 - BURST_SHARE)
             * context.now().since(warmUp.chargedAt()).ratioTo(Timing.ONE_SECOND);
-    return Math.max(0, warmUp.chargedMicros() - refilled);
+    return Math.max(0, warmUp.chargedStatements() - refilled);
   }
 
   /**
-   * Returns the work per second that this router may send to an endpoint that is warming up. This
-   * router's share of an endpoint's capacity is what warm endpoints of the same group answer for
-   * this router; if none is warm, warm endpoints of other groups are the reference.
+   * Returns how many typical statements per second this router may send to an endpoint that is
+   * warming up. This router's share of an endpoint's capacity is what warm endpoints of the same
+   * group answer for this router; if none is warm, warm endpoints of other groups are the
+   * reference.
    */
-  private double allowedWorkPerSecond(Endpoint endpoint) {
-    double warmPerSize = warmWorkPerSize(subsets.endpointsInUse(endpoint.group()));
-    double answered =
-        (warmPerSize > 0
-                ? warmPerSize
-                : warmCapacity.workPerSize(
-                    table.endpoints(), this::isWarm, this::answeredWorkPerSecond))
-            * endpoint.relativeSize();
+  private double allowedPerSecond(Endpoint endpoint) {
+    double share = sharePerSecond(endpoint) * endpoint.relativeSize();
     return Math.max(
         SAFETY_FACTOR
             * context.settings().slowStart().overloadFactor()
             * warmUpShare(endpoint)
-            * answered,
-        serviceTimes.overallMicros()
+            * share,
+        1
             / context.settings().slowStart().overloadTime().ratioTo(Timing.ONE_SECOND)
             / context.settings().identity().routerCount());
   }
 
+  /**
+   * A router with little traffic would get its first statement later than the warm-up takes if only
+   * answers counted. Until then its share is also what clients send it for the group, spread over
+   * the group's endpoints. Only the first: later ones may be a retry storm.
+   */
+  private double sharePerSecond(Endpoint endpoint) {
+    return endpoint.warmUp().isUnusedSinceStart()
+        ? Math.max(answeredPerSecond(endpoint), requestedPerSecond(endpoint))
+        : answeredPerSecond(endpoint);
+  }
+
+  private double answeredPerSecond(Endpoint endpoint) {
+    double warmPerSize = warmWorkPerSize(subsets.endpointsInUse(endpoint.group()));
+    double micros =
+        warmPerSize > 0
+            ? warmPerSize
+            : warmCapacity.workPerSize(
+                table.endpoints(), this::isWarm, this::answeredWorkPerSecond);
+    return micros / serviceTimes.overallMicros();
+  }
+
+  private double requestedPerSecond(Endpoint endpoint) {
+    double size = 0;
+    for (Endpoint inUse : subsets.endpointsInUse(endpoint.group())) {
+      size += inUse.relativeSize();
+    }
+    double received = endpoint.group().statementRate().valueAt(context.now(), Timing.LONG_DECAY);
+    return size == 0 ? 0 : received / size;
+  }
+
   private double warmWorkPerSize(Collection<Endpoint> endpoints) {
     double work = 0;
     double size = 0;
@@ -181,8 +185,6 @@
    * warm one.
    */
   double chargedStatements(Endpoint endpoint) {
-    return isWarmingUp(endpoint)
-        ? endpoint.warmUp().chargedMicros() / serviceTimes.overallMicros()
-        : 0;
+    return isWarmingUp(endpoint) ? endpoint.warmUp().chargedStatements() : 0;
   }
 }
--- a/router/src/main/java/basaltlever/balancer/StatementCompletion.java
+++ b/router/src/main/java/basaltlever/balancer/StatementCompletion.java
@@ -5,40 +5,37 @@
 import basaltlever.gateway.Workload.DeduplicationScope;
 import basaltlever.gateway.Workload.Idempotency;
 import basaltlever.model.Statement;
+import basaltlever.time.Span;
 
 /** Ends statements: by a rejection, by an abort, or because no answer is needed any more. */
 final class StatementCompletion {
-  /** Minimum Retry-After of rejected clients, as a share of the maximum. */
-  private static final double MIN_RETRY_AFTER_SHARE = 0.75;
-
   private final DecisionContext context;
+  private final WaitEstimator waits;
 
-  StatementCompletion(DecisionContext context) {
+  StatementCompletion(DecisionContext context, WaitEstimator waits) {
     this.context = context;
+    this.waits = waits;
   }
 
   /** Rejects the statement if a retry is proven safe, and aborts it otherwise. */
-  void rejectOrAbort(Statement statement, boolean allowsImmediateRetry, RejectReason reason) {
+  void rejectOrAbort(Statement statement, RejectReason reason) {
     boolean retrySafe = isRetrySafe(statement);
+    Span retryAfter = retryAfter(statement);
     finish(statement);
     if (retrySafe) {
-      // During a hold the client may retry immediately: only held statements are released in order
-      // to a new primary.
-      double retryAfterShare =
-          allowsImmediateRetry
-              ? 0
-              : MIN_RETRY_AFTER_SHARE + (1 - MIN_RETRY_AFTER_SHARE) * context.random().nextDouble();
-      context
-          .sink()
-          .reject(
-              statement.id(),
-              context.settings().attemptLimits().maxRetryAfter().times(retryAfterShare),
-              reason);
+      context.sink().reject(statement.id(), retryAfter, reason);
     } else {
       context.sink().abort(statement.id());
     }
   }
 
+  /** Returns when a retry would find its turn, as far as the settings allow such advice. */
+  private Span retryAfter(Statement statement) {
+    return waits
+        .untilWorthRetrying(statement)
+        .shorter(context.settings().attemptLimits().maxRetryAfter());
+  }
+
   private static boolean isRetrySafe(Statement statement) {
     Workload workload = statement.workload();
     return workload.idempotency() == Idempotency.IDEMPOTENT
--- a/router/src/main/java/basaltlever/balancer/StatementDispatcher.java
+++ b/router/src/main/java/basaltlever/balancer/StatementDispatcher.java
@@ -14,28 +14,28 @@
 final class StatementDispatcher {
   private final HoldBudget holdBudget;
   private final PrimaryTracker primaries;
-  private final PrimarySelector primarySelector;
-  private final ReplicaSelector replicaSelector;
+  private final EndpointSelector endpointSelector;
   private final AdmissionControl admission;
   private final AttemptLauncher launcher;
   private final StatementCompletion completion;
+  private final WaitEstimator waits;
   private final ArrayDeque<Statement> pending = new ArrayDeque<>();
 
   StatementDispatcher(
       HoldBudget holdBudget,
       PrimaryTracker primaries,
-      PrimarySelector primarySelector,
-      ReplicaSelector replicaSelector,
+      EndpointSelector endpointSelector,
       AdmissionControl admission,
       AttemptLauncher launcher,
-      StatementCompletion completion) {
+      StatementCompletion completion,
+      WaitEstimator waits) {
     this.holdBudget = holdBudget;
     this.primaries = primaries;
-    this.primarySelector = primarySelector;
-    this.replicaSelector = replicaSelector;
+    this.endpointSelector = endpointSelector;
     this.admission = admission;
     this.launcher = launcher;
     this.completion = completion;
+    this.waits = waits;
   }
 
   /** Queues a statement that needs an attempt or its final answer. */
@@ -48,36 +48,46 @@
   }
 
   void dispatchNext() {
-    dispatch(pending.poll());
+    Statement statement = pending.poll();
+    if (needsPlace(statement)) {
+      enqueueOrShed(statement, waits.before(statement));
+    }
   }
 
-  private void dispatch(Statement statement) {
+  /**
+   * Sends the statement or gives its final answer, if either is due. Returns whether it has to wait
+   * for capacity.
+   */
+  private boolean needsPlace(Statement statement) {
     if (statement.isFinished()) {
-      return;
+      return false;
     }
     RejectReason reason = admission.rejectReason(statement);
     if (reason != null) {
       rejectIfNoneInFlight(statement, reason);
-      return;
+      return false;
     }
-    Endpoint endpoint =
-        statement.workload().requiresPrimary()
-            ? primarySelector.select(statement)
-            : replicaSelector.select(statement);
+    Endpoint endpoint = endpointSelector.select(statement);
     if (endpoint != null) {
       launcher.launch(statement, endpoint);
-    } else if (statement.attemptsInFlight() == 0) {
-      enqueue(statement);
+      return false;
     }
+    return statement.attemptsInFlight() == 0;
   }
 
   /** Rejects the statement unless an attempt in flight may still return the answer. */
   private void rejectIfNoneInFlight(Statement statement, RejectReason reason) {
     if (statement.attemptsInFlight() == 0) {
-      boolean isHeld =
-          statement.group().phase() == Phase.HOLD && statement.workload().requiresPrimary();
-      completion.rejectOrAbort(
-          statement, isHeld && AttemptPolicy.canTryOtherRouter(statement), reason);
+      completion.rejectOrAbort(statement, reason);
+    }
+  }
+
+  /** Lets the statement wait, or rejects it at once if it would wait in vain. */
+  private void enqueueOrShed(Statement statement, WorkAhead workAhead) {
+    if (admission.wouldWaitInVain(statement, workAhead)) {
+      completion.rejectOrAbort(statement, RejectReason.SHED);
+    } else {
+      enqueue(statement);
     }
   }
 
@@ -94,6 +104,20 @@
     }
   }
 
+  /** Moves a waiting statement behind those whose answers can still be in time. */
+  void lowerPriority(Statement statement) {
+    ReplicaGroup group = statement.group();
+    if (statement.workload().requiresPrimary()) {
+      group.heldStatements().remove(statement);
+      statement.markLate();
+      group.heldStatements().add(statement);
+    } else {
+      group.waitingReads().remove(statement);
+      statement.markLate();
+      group.waitingReads().add(statement);
+    }
+  }
+
   /** Holds a statement; statements in excess of the budget are rejected. */
   private void hold(Statement statement) {
     ReplicaGroup group = statement.group();
@@ -101,26 +125,56 @@
     Statement excess = holdBudget.nextToReject(group.heldStatements(), statement.workloadIndex());
     while (excess != null) {
       completion.removeFromHold(excess);
-      completion.rejectOrAbort(excess, false, RejectReason.HOLD_FULL);
+      completion.rejectOrAbort(excess, RejectReason.HOLD_FULL);
       excess = holdBudget.nextToReject(group.heldStatements(), statement.workloadIndex());
     }
   }
 
   /** Dispatches the queued statements of a group: held statements in order, then all reads. */
   void release(ReplicaGroup group) {
+    releaseHeld(group);
+    shedHeld(group);
+    releaseReads(group);
+  }
+
+  private void releaseHeld(ReplicaGroup group) {
     Statement first = group.heldStatements().first();
-    while (first != null && (admission.isOverdue(first) || primarySelector.select(first) != null)) {
+    while (first != null
+        && (admission.isOverdue(first) || endpointSelector.select(first) != null)) {
       completion.removeFromHold(first);
-      dispatch(first);
+      if (needsPlace(first)) {
+        enqueue(first);
+      }
       first = group.heldStatements().first();
     }
+  }
+
+  /** Rejects the held statements that the primary can't execute in time after those before them. */
+  private void shedHeld(ReplicaGroup group) {
+    WorkAhead workAhead = waits.beforeHeld(group);
+    List<Statement> inVain = new ArrayList<>();
+    for (Statement held : group.heldStatements().inReleaseOrder()) {
+      if (admission.wouldWaitInVain(held, workAhead)) {
+        inVain.add(held);
+      } else {
+        workAhead = workAhead.plus(waits.typicalMicros(held));
+      }
+    }
+    inVain.forEach(held -> completion.rejectOrAbort(held, RejectReason.SHED));
+  }
+
+  private void releaseReads(ReplicaGroup group) {
     List<Statement> reads = new ArrayList<>(group.waitingReads().size());
     while (!group.waitingReads().isEmpty()) {
       reads.add(group.waitingReads().poll());
     }
+    WorkAhead workAhead = waits.beforeReads(group);
     for (Statement read : reads) {
       read.setQueued(false);
-      dispatch(read);
+      if (needsPlace(read)) {
+        enqueueOrShed(read, workAhead);
+        workAhead = read.isFinished() ? workAhead : workAhead.plus(waits.typicalMicros(read));
+      }
     }
   }
 }
--- a/router/src/main/java/basaltlever/balancer/StatementModules.java
+++ b/router/src/main/java/basaltlever/balancer/StatementModules.java
@@ -12,24 +12,27 @@
   StatementModules(EndpointModules endpoints, HoldBudget holdBudget) {
     DecisionContext context = endpoints.context;
     AttemptPolicy attempts = new AttemptPolicy(context, endpoints.serviceTimes, endpoints.health);
+    WaitEstimator waits = new WaitEstimator(endpoints);
     AdmissionControl admission =
-        new AdmissionControl(context, endpoints.serviceTimes, attempts, endpoints.congestion);
+        new AdmissionControl(context, endpoints.serviceTimes, attempts, waits);
     EndpointUsability usability = new EndpointUsability(context, endpoints.slowStart);
     PrimarySelector primarySelector =
         new PrimarySelector(context, usability, endpoints.health, endpoints.polls);
     LongReadPlacement longReads =
         new LongReadPlacement(
             context, endpoints.serviceTimes, endpoints.subsets, usability, endpoints.health);
-    completion = new StatementCompletion(context);
+    completion = new StatementCompletion(context, waits);
     dispatcher =
         new StatementDispatcher(
             holdBudget,
             endpoints.primaries,
-            primarySelector,
-            new ReplicaSelector(endpoints, usability, longReads, primarySelector),
+            new EndpointSelector(
+                primarySelector,
+                new ReplicaSelector(endpoints, usability, longReads, primarySelector)),
             admission,
             new AttemptLauncher(context, attempts, endpoints.connections, endpoints.slowStart),
-            completion);
+            completion,
+            waits);
     openStatements =
         new OpenStatements(
             context,
--- a/router/src/main/java/basaltlever/balancer/StatementOrder.java
+++ b/router/src/main/java/basaltlever/balancer/StatementOrder.java
@@ -5,9 +5,9 @@
 
 /** Defines the order in which waiting statements get capacity. */
 final class StatementOrder {
-  /** Highest priority weight first, and for equal weights the earliest arrival. */
+  /** Highest priority first, and for equal priorities the earliest arrival. */
   static final Comparator<Statement> BY_PRIORITY =
-      Comparator.comparingDouble((Statement statement) -> -statement.workload().priorityWeight())
+      Comparator.comparingDouble((Statement statement) -> -statement.priority())
           .thenComparingLong(statement -> statement.receivedAt().micros())
           .thenComparingInt(Statement::id);
 
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -107,9 +107,7 @@
     return new RouterIdentity(
         (int) keys.number("Balancers", 1, MAX_COUNT),
         (int) keys.number("Me", 0, MAX_COUNT, 0),
-        (int) keys.number("Zone", 0, MAX_COUNT),
-        keys.number("Costs.Probe", 0, MAX_COUNT, 0),
-        keys.number("Costs.CrossZone", 0, MAX_COUNT, 0));
+        (int) keys.number("Zone", 0, MAX_COUNT));
   }
 
   private Replication replication() {
--- a/router/src/main/java/basaltlever/core/StatementRouter.java
+++ b/router/src/main/java/basaltlever/core/StatementRouter.java
@@ -8,7 +8,6 @@
 import basaltlever.gateway.Role;
 import basaltlever.gateway.StatementRequest;
 import basaltlever.snapshot.EndpointState;
-import basaltlever.snapshot.GroupState;
 import basaltlever.switchover.PlannedSwitchover;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
@@ -130,11 +129,6 @@
     balancer.learnedState().restore(now, endpointIndices.get(endpoint), state);
   }
 
-  /** Restores the state that an earlier process recorded for groups. */
-  public void restore(Moment now, List<GroupState> groups) {
-    groups.forEach(group -> balancer.learnedState().restore(now, group));
-  }
-
   /**
    * Passes the learned state of a range of endpoint indices to the consumer. Returns false if no
    * index is left. The range is limited because exporting a large endpoint list in one call would
@@ -151,11 +145,6 @@
     return end < endpoints.size();
   }
 
-  /** Returns the learned state of all groups. */
-  public List<GroupState> groupStates(Moment now) {
-    return balancer.learnedState().groupStates(now);
-  }
-
   /**
    * Called at the end of an endpoint list.
    *
--- a/router/src/main/java/basaltlever/discovery/EndpointPublisher.java
+++ b/router/src/main/java/basaltlever/discovery/EndpointPublisher.java
@@ -70,7 +70,6 @@
 
   /** Ends a batch that was caused by a list. */
   void endList(Moment now, boolean drainsUntilFullList, boolean live) {
-    core.restore(now, restore.takeGroups());
     if (drainsUntilFullList) {
       // Updates after this generation may not contain the endpoint again.
       onFullListNeeded.run();
--- a/router/src/main/java/basaltlever/model/HoldQueue.java
+++ b/router/src/main/java/basaltlever/model/HoldQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -10,8 +11,8 @@
 
 /**
  * The statements of one group that are held until its primary is available. They are ordered by
- * descending priority weight, then by arrival time; statements of one session keep their order of
- * arrival. Each operation takes time logarithmic in the number of statements.
+ * descending priority, then by arrival time; statements of one session keep their order of arrival.
+ * Each operation takes time logarithmic in the number of statements.
  */
 public final class HoldQueue {
   private static final Comparator<Statement> RELEASE_ORDER =
@@ -51,6 +52,11 @@
     return workload < sizeByWorkload.length ? sizeByWorkload[workload] : 0;
   }
 
+  /** Returns the statements in the order of their release; the queue must not change meanwhile. */
+  public Iterable<Statement> inReleaseOrder() {
+    return Collections.unmodifiableSortedSet(releaseOrder);
+  }
+
   /** Returns the statement to release first; null if the queue is empty. */
   public Statement first() {
     return releaseOrder.isEmpty() ? null : releaseOrder.first();
@@ -76,7 +82,7 @@
 
   /** Adds a statement. It never overtakes an earlier statement of its session. */
   public void add(Statement statement) {
-    statement.setHoldPriority(statement.workload().priorityWeight());
+    statement.setHoldPriority(statement.priority());
     if (statement.session() != 0) {
       ArrayDeque<Statement> sessionQueue =
           heldBySession.computeIfAbsent(statement.session(), id -> new ArrayDeque<>(2));
--- a/router/src/main/java/basaltlever/model/LoadState.java
+++ b/router/src/main/java/basaltlever/model/LoadState.java
@@ -14,7 +14,7 @@
   private boolean hasCpuUtilization;
   private double capacity;
   private Moment capacityReducedAt = Moment.LONG_AGO;
-  private final DecayingValue excessLatencyRatio = new DecayingValue();
+  private final DecayingValue excessSlowdown = new DecayingValue();
   private final DecayingValue abandonedAttempts = new DecayingValue();
   private final DecayingValue completedWork = new DecayingValue();
 
@@ -147,9 +147,11 @@
     capacityReducedAt = now;
   }
 
-  /** Returns the recent ratio of response time to latency objective, less the usual ratio. */
-  public DecayingValue excessLatencyRatio() {
-    return excessLatencyRatio;
+  /**
+   * Returns the recent ratio of response time to execution time without a queue, less the average.
+   */
+  public DecayingValue excessSlowdown() {
+    return excessSlowdown;
   }
 
   /** Returns the number of cancelled or timed-out attempts that may still occupy the endpoint. */
--- a/router/src/main/java/basaltlever/model/WarmUpState.java
+++ b/router/src/main/java/basaltlever/model/WarmUpState.java
@@ -7,7 +7,7 @@
  */
 public final class WarmUpState {
   private Moment startedAt = Moment.LONG_AGO;
-  private double chargedMicros;
+  private double chargedStatements;
   private Moment chargedAt = Moment.LONG_AGO;
   private boolean unusedSinceStart;
 
@@ -19,9 +19,9 @@
     return startedAt;
   }
 
-  /** Returns the work charged, in microseconds, as of {@link #chargedAt}. */
-  public double chargedMicros() {
-    return chargedMicros;
+  /** Returns the work charged, in typical statements, as of {@link #chargedAt}. */
+  public double chargedStatements() {
+    return chargedStatements;
   }
 
   /** Returns the time at which work was last charged. */
@@ -35,23 +35,23 @@
   }
 
   /** Records a start of the endpoint. The initial charge delays this router's first statement. */
-  public void recordStart(Moment at, Moment now, double initialChargeMicros) {
+  public void recordStart(Moment at, Moment now, double initialCharge) {
     startedAt = at;
-    chargedMicros = initialChargeMicros;
+    chargedStatements = initialCharge;
     unusedSinceStart = true;
     chargedAt = now;
   }
 
   /** Records that a statement was sent, with the new total of the charged work. */
-  public void charge(Moment now, double totalMicros) {
-    chargedMicros = totalMicros;
+  public void charge(Moment now, double total) {
+    chargedStatements = total;
     chargedAt = now;
     unusedSinceStart = false;
   }
 
   /** Restores the charge that an earlier process recorded. */
-  public void restore(Moment now, double totalMicros, boolean wasUnused) {
-    chargedMicros = totalMicros;
+  public void restore(Moment now, double total, boolean wasUnused) {
+    chargedStatements = total;
     chargedAt = now;
     unusedSinceStart &= wasUnused;
   }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -408,7 +408,7 @@
               iteration.enqueue(
                   next -> exportStep(next, from + ENDPOINTS_PER_EXPORT_STEP, endpoints, exported)));
     } else {
-      exported.trySuccess(learnedState(now, endpoints));
+      exported.trySuccess(learnedState(endpoints));
     }
   }
 
@@ -425,7 +425,7 @@
         });
   }
 
-  private LearnedState learnedState(Moment now, List<StoredEndpoint> endpoints) {
+  private LearnedState learnedState(List<StoredEndpoint> endpoints) {
     return new LearnedState(
         operator.deployment(),
         startFile.name(),
@@ -435,7 +435,7 @@
         SystemClocks.bootId(),
         endpointList.generation(),
         endpoints,
-        core.groupStates(now));
+        List.of());
   }
 
   /**
@@ -877,7 +877,7 @@
           now -> {
             List<StoredEndpoint> endpoints = new ArrayList<>();
             exportEndpoints(now, 0, Integer.MAX_VALUE / 2, endpoints);
-            snapshotWriter.close(learnedState(now, endpoints));
+            snapshotWriter.close(learnedState(endpoints));
             iteration.addEffect(() -> endOnceClientsLeft(Moment.NEVER));
           });
     } else {
--- a/router/src/main/java/basaltlever/settings/StricterSettings.java
+++ b/router/src/main/java/basaltlever/settings/StricterSettings.java
@@ -118,11 +118,7 @@
   private static RouterIdentity stricterIdentity(RouterIdentity older, RouterIdentity newer) {
     // The more routers, the smaller the share of each.
     return new RouterIdentity(
-        Math.max(older.routerCount(), newer.routerCount()),
-        newer.index(),
-        newer.zone(),
-        newer.pollCost(),
-        newer.crossZoneCost());
+        Math.max(older.routerCount(), newer.routerCount()), newer.index(), newer.zone());
   }
 
   private static Workload stricterWorkload(Workload older, Workload newer, boolean sameTokens) {
--- a/router/src/main/java/basaltlever/snapshot/StateDecay.java
+++ b/router/src/main/java/basaltlever/snapshot/StateDecay.java
@@ -58,13 +58,6 @@
         .build();
   }
 
-  /** Returns the state aged by the given time. */
-  public static GroupState decay(GroupState state, Span age) {
-    double loadWeight = weight(age, LOAD_DECAY);
-    return new GroupState(
-        state.group(), state.congestion() * loadWeight, state.primaryCongestion() * loadWeight);
-  }
-
   private static Span extend(Span ago, Span age) {
     return ago.isShorterThan(EndpointState.NEVER) ? ago.plus(age) : ago;
   }
--- a/router/src/main/java/basaltlever/snapshot/StateRestore.java
+++ b/router/src/main/java/basaltlever/snapshot/StateRestore.java
@@ -28,18 +28,12 @@
   private final Span age;
   private final long listVersion;
   private final Map<String, StoredEndpoint> pending = new LinkedHashMap<>();
-  private List<GroupState> pendingGroups;
 
   private StateRestore(
-      String rejection,
-      Span age,
-      long listVersion,
-      List<StoredEndpoint> endpoints,
-      List<GroupState> groups) {
+      String rejection, Span age, long listVersion, List<StoredEndpoint> endpoints) {
     this.rejection = rejection;
     this.age = age;
     this.listVersion = listVersion;
-    this.pendingGroups = groups;
     endpoints.forEach(endpoint -> pending.put(endpoint.id(), endpoint));
   }
 
@@ -93,13 +87,11 @@
           new StoredEndpoint(
               endpoint.id(), endpoint.address(), StateDecay.decay(endpoint.state(), age)));
     }
-    List<GroupState> groups =
-        stored.groups().stream().map(group -> StateDecay.decay(group, age)).toList();
-    return new StateRestore("", age, stored.listVersion(), endpoints, groups);
+    return new StateRestore("", age, stored.listVersion(), endpoints);
   }
 
   private static StateRestore rejected(String reason) {
-    return new StateRestore(reason, Span.NONE, 0, List.of(), List.of());
+    return new StateRestore(reason, Span.NONE, 0, List.of());
   }
 
   /** Returns why the stored state was rejected; empty if it is usable. */
@@ -154,11 +146,4 @@
   private static boolean isSameStart(long stored, long listed, boolean olderList) {
     return stored == listed || (olderList && stored > listed);
   }
-
-  /** Removes and returns the states of the replica groups. */
-  public List<GroupState> takeGroups() {
-    List<GroupState> groups = pendingGroups;
-    pendingGroups = List.of();
-    return groups;
-  }
 }
