Only less important statements are kept from queueing at a server

Cause, by the reasons and the state at each rejection: 3808 of 3894 were SHED at a known primary with a capacity of 0.20, the minimum: answers of a busy server that took over twice as long as without a queue reduced the capacity for all, though a write has 1 s for 8 ms of work and nothing more important waits behind it. That was a refusal without a caller's reason.

Change: two limits an endpoint. Answers later than the SLO time reduce the one for all; a queue reduces only the one for statements of less importance than others that the endpoint executes ("executions go by importance"). The wait is estimated by the limit that holds for the statement. WorkAhead is one figure now.

Why it works: the more important wait at the server at most behind each other, the less important wait in the router, where they are overtaken and shed first.

--- a/router/src/main/java/basaltlever/balancer/AdmissionControl.java
+++ b/router/src/main/java/basaltlever/balancer/AdmissionControl.java
@@ -2,7 +2,6 @@
 
 import basaltlever.gateway.RejectReason;
 import basaltlever.model.Statement;
-import basaltlever.time.Moment;
 import basaltlever.time.Span;
 
 /**
@@ -58,12 +57,10 @@
    * ahead of it leaves too little time for its own. Work of statements that are more important is
    * always ahead, so the least important are shed first.
    */
-  boolean wouldWaitInVain(Statement statement, WorkAhead workAhead) {
-    Moment latestStart =
-        attempts
-            .usefulUntil(statement)
-            .minus(serviceTimes.likelyWork(statement.workloadIndex(), context.now()));
-    return waits.isBounded(workAhead)
-        && context.now().plus(waits.untilExecuted(workAhead)).isAfter(latestStart);
+  boolean wouldWaitInVain(Statement statement, double workAheadMicros) {
+    Span wait = waits.untilExecuted(statement, workAheadMicros);
+    Span likelyWork = serviceTimes.likelyWork(statement.workloadIndex(), context.now());
+    return !wait.equals(Span.NONE)
+        && context.now().plus(wait).plus(likelyWork).isAfter(attempts.usefulUntil(statement));
   }
 }
--- a/router/src/main/java/basaltlever/balancer/DecisionContext.java
+++ b/router/src/main/java/basaltlever/balancer/DecisionContext.java
@@ -22,6 +22,7 @@
   private Moment now;
   private Settings settings;
   private double highestPriorityWeight;
+  private double highestReplicaPriorityWeight;
 
   DecisionContext(DecisionSink sink, SplittableRandom random, Settings settings, Moment now) {
     this.sink = sink;
@@ -42,6 +43,12 @@
             .mapToDouble(Workload::priorityWeight)
             .max()
             .orElse(1);
+    highestReplicaPriorityWeight =
+        Arrays.stream(newSettings.workloads())
+            .filter(workload -> !workload.requiresPrimary())
+            .mapToDouble(Workload::priorityWeight)
+            .max()
+            .orElse(1);
   }
 
   Moment now() {
@@ -73,6 +80,11 @@
             1 - Math.exp(-now.since(lastUpdate).micros() / EVENT_WEIGHT_TIME_CONSTANT_MICROS)));
   }
 
+  /** The highest priority weight of the workloads that a primary or a replica executes. */
+  double highestPriority(boolean isPrimary) {
+    return isPrimary ? highestPriorityWeight : highestReplicaPriorityWeight;
+  }
+
   /** The priority weight of a workload as a share of the highest one. */
   double priorityShare(Workload workload) {
     return workload.priorityWeight() / highestPriorityWeight;
--- a/router/src/main/java/basaltlever/balancer/EndpointHealth.java
+++ b/router/src/main/java/basaltlever/balancer/EndpointHealth.java
@@ -80,10 +80,37 @@
     return slowdown(endpoint) > QUEUED_SLOWDOWN;
   }
 
-  /** Whether the given share of the endpoint's capacity allows one more attempt. */
-  boolean hasCapacity(Endpoint endpoint, double share) {
-    return endpoint.load().inFlight() + abandonedAttempts(endpoint)
-        < endpoint.load().capacity() * share;
+  /** Whether the given share of the endpoint's capacity allows an attempt of the statement. */
+  boolean hasCapacity(Endpoint endpoint, Statement statement, double share) {
+    LoadState load = endpoint.load();
+    double occupied = load.inFlight() + abandonedAttempts(endpoint);
+    return occupied < load.capacity() * share
+        && (mayQueue(endpoint, statement)
+            || occupied + unqueuedPause(endpoint) < load.unqueuedCapacity() * share);
+  }
+
+  /** The number of attempts of the statement's importance that the endpoint may have in flight. */
+  double capacityFor(Endpoint endpoint, Statement statement) {
+    LoadState load = endpoint.load();
+    return mayQueue(endpoint, statement)
+        ? load.capacity()
+        : Math.min(load.capacity(), load.unqueuedCapacity());
+  }
+
+  /**
+   * Whether the statement may wait in a queue at the endpoint, where nothing can overtake it: only
+   * if no statement that the endpoint executes is more important.
+   */
+  private boolean mayQueue(Endpoint endpoint, Statement statement) {
+    boolean isPrimary = endpoint == statement.group().primary();
+    return statement.priority() >= context.highestPriority(isPrimary);
+  }
+
+  private double unqueuedPause(Endpoint endpoint) {
+    return endpoint
+        .load()
+        .unqueuedPause()
+        .valueAt(context.now(), new Span((long) serviceTimes.overallMicros()));
   }
 
   /**
@@ -204,9 +231,13 @@
 
   /** A capacity below one attempt is enforced by a pause after each attempt. */
   private void enforceFractionalCapacity(Endpoint endpoint) {
-    if (endpoint.load().capacity() < 1) {
-      double occupied = Math.max(abandonedAttempts(endpoint), 1 / endpoint.load().capacity() - 1);
-      endpoint.load().abandonedAttempts().set(context.now(), occupied);
+    LoadState load = endpoint.load();
+    if (load.capacity() < 1) {
+      double occupied = Math.max(abandonedAttempts(endpoint), 1 / load.capacity() - 1);
+      load.abandonedAttempts().set(context.now(), occupied);
+    }
+    if (load.unqueuedCapacity() < 1) {
+      load.unqueuedPause().set(context.now(), 1 / load.unqueuedCapacity() - 1);
     }
   }
 
@@ -232,20 +263,25 @@
   }
 
   /**
-   * A statement that waits at a busy endpoint can't be overtaken by a more important one, so it
-   * should wait in this router. Answers that come too late also reduce the capacity of an endpoint
-   * that does not report to be busy.
+   * Answers that come too late reduce the capacity. A queue at a busy endpoint reduces it only for
+   * statements of less importance, since more important ones can't overtake them there.
    */
   private static void adaptCapacity(LoadState load, double slowdown, boolean tooLate) {
     boolean busy = isBusy(load);
-    double capacity = load.capacity();
+    boolean queueing = busy && slowdown > QUEUED_SLOWDOWN;
+    load.setCapacity(adapt(load.capacity(), tooLate, busy, load.inFlight()));
+    load.setUnqueuedCapacity(
+        adapt(load.unqueuedCapacity(), tooLate || queueing, busy, load.inFlight()));
+  }
+
+  private static double adapt(double capacity, boolean reduce, boolean busy, int inFlight) {
     double gradualStep = Math.min(0.3, 0.1 * capacity);
-    if (tooLate || (busy && slowdown > QUEUED_SLOWDOWN)) {
-      load.setCapacity(Math.max(MIN_CAPACITY_ATTEMPTS, capacity - gradualStep));
-    } else if (load.inFlight() + 1 > 0.7 * capacity) {
-      double step = busy ? gradualStep : 0.5;
-      load.setCapacity(Math.min(MAX_CAPACITY_ATTEMPTS, capacity + step));
+    if (reduce) {
+      return Math.max(MIN_CAPACITY_ATTEMPTS, capacity - gradualStep);
     }
+    boolean nearlyUsed = inFlight + 1 > 0.7 * capacity;
+    double step = busy ? gradualStep : 0.5;
+    return nearlyUsed ? Math.min(MAX_CAPACITY_ATTEMPTS, capacity + step) : capacity;
   }
 
   private static boolean isBusy(LoadState load) {
--- a/router/src/main/java/basaltlever/balancer/PrimarySelector.java
+++ b/router/src/main/java/basaltlever/balancer/PrimarySelector.java
@@ -45,14 +45,14 @@
       return null;
     }
     if (statement.workload().requiresPrimary()) {
-      return health.hasCapacity(primary, 1) ? primary : null;
+      return health.hasCapacity(primary, statement, 1) ? primary : null;
     }
     if (context.now().since(primary.polling().sentAt()).isLongerThan(MAX_REPORT_AGE)) {
       polls.pollNow(primary);
     }
     return hasCurrentReport(primary)
             && isIdleEnough(primary, statement)
-            && health.hasCapacity(primary, 1 - RESERVED_SHARE)
+            && health.hasCapacity(primary, statement, 1 - RESERVED_SHARE)
             && !isOutranked(statement)
         ? primary
         : null;
--- a/router/src/main/java/basaltlever/balancer/ReplicaSelector.java
+++ b/router/src/main/java/basaltlever/balancer/ReplicaSelector.java
@@ -76,7 +76,7 @@
         && candidates.replicasCheck
         && leastLagging != null
         && !freshness.estimatedLag(leastLagging).isLongerThan(candidates.allowedLag.times(2))) {
-      return health.hasCapacity(leastLagging, 1) ? leastLagging : null;
+      return health.hasCapacity(leastLagging, candidates.statement, 1) ? leastLagging : null;
     }
     return primarySelector.select(candidates.statement);
   }
@@ -167,7 +167,7 @@
     private void sample(Endpoint endpoint, int tier) {
       // A replica that is warming up is sampled in proportion to its warm-up: by load score alone a
       // router with little traffic would never choose it.
-      if (!health.hasCapacity(endpoint, 1)
+      if (!health.hasCapacity(endpoint, statement, 1)
           || tier > bestTier
           || context.random().nextDouble() >= slowStart.warmUpShare(endpoint)) {
         return;
--- a/router/src/main/java/basaltlever/balancer/StatementDispatcher.java
+++ b/router/src/main/java/basaltlever/balancer/StatementDispatcher.java
@@ -50,7 +50,7 @@
   void dispatchNext() {
     Statement statement = pending.poll();
     if (needsPlace(statement)) {
-      enqueueOrShed(statement, waits.before(statement));
+      enqueueOrShed(statement, waits.workAheadMicros(statement));
     }
   }
 
@@ -83,8 +83,8 @@
   }
 
   /** Lets the statement wait, or rejects it at once if it would wait in vain. */
-  private void enqueueOrShed(Statement statement, WorkAhead workAhead) {
-    if (admission.wouldWaitInVain(statement, workAhead)) {
+  private void enqueueOrShed(Statement statement, double workAheadMicros) {
+    if (admission.wouldWaitInVain(statement, workAheadMicros)) {
       completion.rejectOrAbort(statement, RejectReason.SHED);
     } else {
       enqueue(statement);
@@ -151,13 +151,13 @@
 
   /** Rejects the held statements that the primary can't execute in time after those before them. */
   private void shedHeld(ReplicaGroup group) {
-    WorkAhead workAhead = waits.beforeHeld(group);
+    double workAheadMicros = 0;
     List<Statement> inVain = new ArrayList<>();
     for (Statement held : group.heldStatements().inReleaseOrder()) {
-      if (admission.wouldWaitInVain(held, workAhead)) {
+      if (admission.wouldWaitInVain(held, workAheadMicros)) {
         inVain.add(held);
       } else {
-        workAhead = workAhead.plus(waits.typicalMicros(held));
+        workAheadMicros += waits.typicalMicros(held);
       }
     }
     inVain.forEach(held -> completion.rejectOrAbort(held, RejectReason.SHED));
@@ -168,12 +168,12 @@
     while (!group.waitingReads().isEmpty()) {
       reads.add(group.waitingReads().poll());
     }
-    WorkAhead workAhead = waits.beforeReads(group);
+    double workAheadMicros = 0;
     for (Statement read : reads) {
       read.setQueued(false);
       if (needsPlace(read)) {
-        enqueueOrShed(read, workAhead);
-        workAhead = read.isFinished() ? workAhead : workAhead.plus(waits.typicalMicros(read));
+        enqueueOrShed(read, workAheadMicros);
+        workAheadMicros += read.isFinished() ? 0 : waits.typicalMicros(read);
       }
     }
   }
--- a/router/src/main/java/basaltlever/balancer/WaitEstimator.java
+++ b/router/src/main/java/basaltlever/balancer/WaitEstimator.java
@@ -17,50 +17,33 @@
   private final ServiceTimes serviceTimes;
   private final GroupSubsets subsets;
   private final SlowStart slowStart;
+  private final EndpointHealth health;
 
   WaitEstimator(EndpointModules endpoints) {
     context = endpoints.context;
     serviceTimes = endpoints.serviceTimes;
     subsets = endpoints.subsets;
     slowStart = endpoints.slowStart;
+    health = endpoints.health;
   }
 
-  /** Returns the work ahead of the first waiting read of the group. */
-  WorkAhead beforeReads(ReplicaGroup group) {
-    double concurrency = 0;
-    for (Endpoint endpoint : subsets.endpointsInUse(group)) {
-      concurrency += endpoint == group.primary() ? 0 : concurrency(endpoint);
-    }
-    return new WorkAhead(0, concurrency);
-  }
-
-  /** Returns the work ahead of the first statement of the group that waits for the primary. */
-  WorkAhead beforeHeld(ReplicaGroup group) {
-    boolean primaryKnown = group.phase() == Phase.STEADY && group.primary() != null;
-    return new WorkAhead(0, primaryKnown ? concurrency(group.primary()) : 0);
-  }
-
-  private double concurrency(Endpoint endpoint) {
-    boolean usable =
-        context.isListedForUse(endpoint)
-            && !endpoint.health().isDown()
-            && !endpoint.health().isUnresponsive();
-    return usable ? endpoint.load().capacity() * slowStart.warmUpShare(endpoint) : 0;
-  }
-
-  /** Returns the work ahead of a statement that waits or would wait now. */
-  WorkAhead before(Statement statement) {
+  /**
+   * Returns the typical time of all statements that would be executed before the given one, which
+   * waits or would wait now, in microseconds.
+   */
+  double workAheadMicros(Statement statement) {
     ReplicaGroup group = statement.group();
-    boolean needsPrimary = statement.workload().requiresPrimary();
-    WorkAhead workAhead = needsPrimary ? beforeHeld(group) : beforeReads(group);
     Iterable<Statement> waiting =
-        needsPrimary ? group.heldStatements().inReleaseOrder() : group.waitingReads();
+        statement.workload().requiresPrimary()
+            ? group.heldStatements().inReleaseOrder()
+            : group.waitingReads();
+    double micros = 0;
     for (Statement other : waiting) {
       if (StatementOrder.BY_PRIORITY.compare(other, statement) < 0) {
-        workAhead = workAhead.plus(typicalMicros(other));
+        micros += typicalMicros(other);
       }
     }
-    return workAhead;
+    return micros;
   }
 
   /** The typical time of the statement, in microseconds. */
@@ -68,18 +51,43 @@
     return serviceTimes.typicalMicros(statement.workloadIndex());
   }
 
-  /** Whether endpoints execute statements at all; otherwise no wait can be estimated. */
-  boolean isBounded(WorkAhead workAhead) {
-    return workAhead.concurrency() > 0;
+  /**
+   * Returns how many statements like the given one the endpoints of its group execute for this
+   * router at the same time; 0 if none of them is usable.
+   */
+  private double concurrency(Statement statement) {
+    ReplicaGroup group = statement.group();
+    if (statement.workload().requiresPrimary()) {
+      boolean primaryKnown = group.phase() == Phase.STEADY && group.primary() != null;
+      return primaryKnown ? concurrency(group.primary(), statement) : 0;
+    }
+    double total = 0;
+    for (Endpoint endpoint : subsets.endpointsInUse(group)) {
+      total += endpoint == group.primary() ? 0 : concurrency(endpoint, statement);
+    }
+    return total;
+  }
+
+  private double concurrency(Endpoint endpoint, Statement statement) {
+    boolean usable =
+        context.isListedForUse(endpoint)
+            && !endpoint.health().isDown()
+            && !endpoint.health().isUnresponsive();
+    return usable ? health.capacityFor(endpoint, statement) * slowStart.warmUpShare(endpoint) : 0;
   }
 
   /**
-   * Returns the time until the work ahead is done and a place at an endpoint becomes free. If n
+   * Returns the time until the work ahead is done and a place at an endpoint becomes free; {@code
+   * Span.NONE} if no endpoint executes statements, so that no wait can be estimated. If n
    * statements are in execution, the first of them ends after one part in n + 1 of their time.
    */
-  Span untilExecuted(WorkAhead workAhead) {
-    double untilPlaceIsFree = serviceTimes.overallMicros() / (workAhead.concurrency() + 1);
-    return new Span((long) (workAhead.micros() / workAhead.concurrency() + untilPlaceIsFree));
+  Span untilExecuted(Statement statement, double workAheadMicros) {
+    double concurrency = concurrency(statement);
+    if (concurrency == 0) {
+      return Span.NONE;
+    }
+    double untilPlaceIsFree = serviceTimes.overallMicros() / (concurrency + 1);
+    return new Span((long) (workAheadMicros / concurrency + untilPlaceIsFree));
   }
 
   /**
@@ -88,9 +96,9 @@
    * as long as the outage has lasted, within the interval of its polls.
    */
   Span untilWorthRetrying(Statement statement) {
-    WorkAhead workAhead = before(statement);
-    if (isBounded(workAhead)) {
-      return untilExecuted(workAhead);
+    Span wait = untilExecuted(statement, workAheadMicros(statement));
+    if (!wait.equals(Span.NONE)) {
+      return wait;
     }
     Moment outageSince =
         statement.workload().requiresPrimary()
--- a/router/src/main/java/basaltlever/model/LoadState.java
+++ b/router/src/main/java/basaltlever/model/LoadState.java
@@ -13,13 +13,16 @@
   private double cpuUtilization;
   private boolean hasCpuUtilization;
   private double capacity;
+  private double unqueuedCapacity;
   private Moment capacityReducedAt = Moment.LONG_AGO;
   private final DecayingValue excessSlowdown = new DecayingValue();
   private final DecayingValue abandonedAttempts = new DecayingValue();
+  private final DecayingValue unqueuedPause = new DecayingValue();
   private final DecayingValue completedWork = new DecayingValue();
 
   LoadState(double capacity) {
     this.capacity = capacity;
+    this.unqueuedCapacity = capacity;
   }
 
   /** Returns the number of attempts in flight. */
@@ -129,6 +132,24 @@
     return capacity;
   }
 
+  /**
+   * Returns the number of attempts that this router may have in flight without a queue at the
+   * endpoint, which would delay more important statements.
+   */
+  public double unqueuedCapacity() {
+    return unqueuedCapacity;
+  }
+
+  /** Sets the number of attempts that may be in flight without a queue at the endpoint. */
+  public void setUnqueuedCapacity(double maxAttempts) {
+    unqueuedCapacity = maxAttempts;
+  }
+
+  /** Returns the pause that keeps a capacity without a queue below one attempt, in attempts. */
+  public DecayingValue unqueuedPause() {
+    return unqueuedPause;
+  }
+
   /** Sets the number of attempts that may be in flight. */
   public void setCapacity(double maxAttempts) {
     capacity = maxAttempts;
