Statements of which no answer is known yet are not shed for the work that they might be

Callers saw: a router that has just started, or meets a new workload, rejected reads as soon as some waited for the first places, with nearly all of their time left. Cause: before the first answer the work of a statement counted as its whole SLO time, in the estimate of the wait and in the budget of a server that warms up.

Change: unknown work counts nothing in a wait and one typical statement in a warm-up budget. Also: a held statement of less importance that a more important one of its session waits for counts as that one at the primary, too; it could hold up the queue behind it (by reading; no test).

Test: RemainingTimeTest.readsWaitForTheFirstAnswersWithinTheirTime failed before ("expected the others to go on waiting").

--- a/router/src/main/java/basaltlever/balancer/EndpointHealth.java
+++ b/router/src/main/java/basaltlever/balancer/EndpointHealth.java
@@ -103,7 +103,9 @@
    */
   private boolean mayQueue(Endpoint endpoint, Statement statement) {
     boolean isPrimary = endpoint == statement.group().primary();
-    return statement.priority() >= context.highestPriority(isPrimary);
+    // A held statement that a more important one of its session waits for counts as that one.
+    double priority = Math.max(statement.priority(), statement.holdPriority());
+    return priority >= context.highestPriority(isPrimary);
   }
 
   private double unqueuedPause(Endpoint endpoint) {
--- a/router/src/main/java/basaltlever/balancer/ServiceTimes.java
+++ b/router/src/main/java/basaltlever/balancer/ServiceTimes.java
@@ -62,6 +62,11 @@
     return estimates[workloadIndex].samples > 0;
   }
 
+  /** Whether any statement has been answered. */
+  boolean isAnyKnown() {
+    return samples > 0;
+  }
+
   /** The mean time of a statement; the latency objective before the first answer. */
   double typicalMicros(int workloadIndex) {
     return isKnown(workloadIndex)
--- a/router/src/main/java/basaltlever/balancer/SlowStart.java
+++ b/router/src/main/java/basaltlever/balancer/SlowStart.java
@@ -81,8 +81,11 @@
     endpoint.warmUp().restore(context.now(), total, chargedStatements <= 0);
   }
 
-  /** The work of the statement, in typical statements. */
+  /** The work of the statement, in typical statements; one if nothing is known of its work. */
   private double typicalStatements(Statement statement) {
+    if (!serviceTimes.isKnown(statement.workloadIndex())) {
+      return 1;
+    }
     return serviceTimes.typicalMicros(statement.workloadIndex()) / serviceTimes.overallMicros();
   }
 
--- a/router/src/main/java/basaltlever/balancer/WaitEstimator.java
+++ b/router/src/main/java/basaltlever/balancer/WaitEstimator.java
@@ -46,9 +46,13 @@
     return micros;
   }
 
-  /** The typical time of the statement, in microseconds. */
+  /**
+   * The typical time of the statement, in microseconds; 0 if nothing is known of its work yet, so
+   * that no statement is rejected for work that may be little.
+   */
   double typicalMicros(Statement statement) {
-    return serviceTimes.typicalMicros(statement.workloadIndex());
+    int workload = statement.workloadIndex();
+    return serviceTimes.isKnown(workload) ? serviceTimes.typicalMicros(workload) : 0;
   }
 
   /**
@@ -78,15 +82,17 @@
 
   /**
    * Returns the time until the work ahead is done and a place at an endpoint becomes free; {@code
-   * Span.NONE} if no endpoint executes statements, so that no wait can be estimated. If n
-   * statements are in execution, the first of them ends after one part in n + 1 of their time.
+   * Span.NONE} if no wait can be estimated, because no endpoint executes statements or no answer
+   * has shown how long that takes. If n statements are in execution, the first of them ends after
+   * one part in n + 1 of their time.
    */
   Span untilExecuted(Statement statement, double workAheadMicros) {
     double concurrency = concurrency(statement);
     if (concurrency == 0) {
       return Span.NONE;
     }
-    double untilPlaceIsFree = serviceTimes.overallMicros() / (concurrency + 1);
+    double untilPlaceIsFree =
+        serviceTimes.isAnyKnown() ? serviceTimes.overallMicros() / (concurrency + 1) : 0;
     return new Span((long) (workAheadMicros / concurrency + untilPlaceIsFree));
   }
 
--- a/router/src/test/java/basaltlever/RemainingTimeTest.java
+++ b/router/src/test/java/basaltlever/RemainingTimeTest.java
@@ -132,6 +132,24 @@
     check(harness.lastAttempt().statement() == inTime, "expected an attempt with time for it");
   }
 
+  /** A router that has just started knows of no work, and rejects nothing because of it. */
+  @Example
+  void readsWaitForTheFirstAnswersWithinTheirTime() {
+    LoadBalancerHarness harness = LoadBalancerHarness.withDefaults().listEndpoints(3);
+    for (int i = 0; i < 50; i++) {
+      harness.receiveStatement(BOUNDED, 0, Moment.LONG_AGO, 1_000);
+      harness.advance(5);
+    }
+    check(
+        harness.rejectedStatements.isEmpty() && harness.attempts.isEmpty(),
+        "expected all reads to wait: " + harness.rejectedStatements);
+    harness.completePoll(0, Role.PRIMARY, harness.now);
+    harness.completePoll(1, Role.REPLICA, harness.now);
+    harness.completePoll(2, Role.REPLICA, harness.now);
+    check(!harness.attempts.isEmpty(), "expected reads to be sent once positions are known");
+    check(harness.rejectedStatements.isEmpty(), "expected the others to go on waiting");
+  }
+
   /** The more work is ahead of a statement, the later its client is told to come back. */
   @Example
   void adviceGrowsWithTheWorkAhead() {
