A held statement that can only be late waits behind those in time, also where its session goes on

Cause: a late statement was held again, and HoldQueue.add lets an earlier statement inherit the priority of a later one of its session; with several statements of a session held, none was ever moved back.

Change: HoldQueue.lowerPriority moves the statement back to what a late answer is worth and keeps later ones of its session behind it.

Test: RemainingTimeTest.lateStatementWaitsBehindThoseInTimeAndBeforeItsSession failed before.

--- a/router/src/main/java/basaltlever/balancer/StatementDispatcher.java
+++ b/router/src/main/java/basaltlever/balancer/StatementDispatcher.java
@@ -108,9 +108,8 @@
   void lowerPriority(Statement statement) {
     ReplicaGroup group = statement.group();
     if (statement.workload().requiresPrimary()) {
-      group.heldStatements().remove(statement);
       statement.markLate();
-      group.heldStatements().add(statement);
+      group.heldStatements().lowerPriority(statement);
     } else {
       group.waitingReads().remove(statement);
       statement.markLate();
--- a/router/src/main/java/basaltlever/model/HoldQueue.java
+++ b/router/src/main/java/basaltlever/model/HoldQueue.java
@@ -115,6 +115,28 @@
     textBytes += statement.textBytes();
   }
 
+  /**
+   * Moves a held statement back to its present priority. Later statements of its session stay
+   * behind it.
+   */
+  public void lowerPriority(Statement statement) {
+    changeHoldPriority(statement, statement.priority());
+    boolean isLater = false;
+    for (Statement other : heldBySession.getOrDefault(statement.session(), new ArrayDeque<>())) {
+      if (isLater && other.holdPriority() > statement.holdPriority()) {
+        changeHoldPriority(other, statement.holdPriority());
+      }
+      isLater |= other.id() == statement.id();
+    }
+  }
+
+  private void changeHoldPriority(Statement statement, double priority) {
+    if (releaseOrder.remove(statement)) {
+      statement.setHoldPriority(priority);
+      releaseOrder.add(statement);
+    }
+  }
+
   private static boolean arrivedLater(Statement one, Statement other) {
     return one.receivedAt().isAfter(other.receivedAt())
         || (one.receivedAt().equals(other.receivedAt()) && one.id() > other.id());
--- a/router/src/main/java/basaltlever/model/Statement.java
+++ b/router/src/main/java/basaltlever/model/Statement.java
@@ -128,7 +128,7 @@
     return late;
   }
 
-  /** Records that its answer can only be late. It must not be in a queue meanwhile. */
+  /** Records that its answer can only be late. */
   public void markLate() {
     late = true;
   }
--- a/router/src/test/java/basaltlever/RemainingTimeTest.java
+++ b/router/src/test/java/basaltlever/RemainingTimeTest.java
@@ -132,6 +132,21 @@
     check(harness.lastAttempt().statement() == inTime, "expected an attempt with time for it");
   }
 
+  /** What can only be late waits behind what can be in time, and sessions keep their order. */
+  @Example
+  void lateStatementWaitsBehindThoseInTimeAndBeforeItsSession() {
+    LoadBalancerHarness harness = LoadBalancerHarness.withDefaults().listEndpoints(3);
+    int late = harness.receiveStatement(WRITE, 1, Moment.LONG_AGO, 2_000);
+    harness.advance(250);
+    int nextOfSession = harness.receiveStatement(WRITE, 1, Moment.LONG_AGO, 2_000);
+    int inTime = harness.receiveStatement(WRITE, 2, Moment.LONG_AGO, 2_000);
+    harness.advance(100).completePoll(0, Role.PRIMARY, harness.now);
+    List<Integer> sent = harness.attempts.stream().map(SentAttempt::statement).toList();
+    check(
+        sent.equals(List.of(inTime, late, nextOfSession)),
+        "expected the statement in time first: " + sent);
+  }
+
   /** A router that has just started knows of no work, and rejects nothing because of it. */
   @Example
   void readsWaitForTheFirstAnswersWithinTheirTime() {
