Estimated waits are compared by their length, so no classes are generated on the event loop

Callers would have waited for them at the first statement that finds no place. Cause: Span is a record, and its equals links method handles when it first runs; compared waits by equals in AdmissionControl and WaitEstimator.

Change: isLongerThan(Span.NONE).

--- a/router/src/main/java/basaltlever/balancer/AdmissionControl.java
+++ b/router/src/main/java/basaltlever/balancer/AdmissionControl.java
@@ -60,7 +60,7 @@
   boolean wouldWaitInVain(Statement statement, double workAheadMicros) {
     Span wait = waits.untilExecuted(statement, workAheadMicros);
     Span likelyWork = serviceTimes.likelyWork(statement.workloadIndex(), context.now());
-    return !wait.equals(Span.NONE)
+    return wait.isLongerThan(Span.NONE)
         && context.now().plus(wait).plus(likelyWork).isAfter(attempts.usefulUntil(statement));
   }
 }
--- a/router/src/main/java/basaltlever/balancer/WaitEstimator.java
+++ b/router/src/main/java/basaltlever/balancer/WaitEstimator.java
@@ -103,7 +103,7 @@
    */
   Span untilWorthRetrying(Statement statement) {
     Span wait = untilExecuted(statement, workAheadMicros(statement));
-    if (!wait.equals(Span.NONE)) {
+    if (wait.isLongerThan(Span.NONE)) {
       return wait;
     }
     Moment outageSince =
