Each client gets a bounded share of every iteration, and effects end the iteration

Cause: LoopIteration.scheduleRun added the next batch as an after-iteration task while such tasks ran, and Netty runs those in the same iteration. An effect that answers a statement makes its connection submit the next one, which queues input: the batches followed each other without a select and without a timer for as long as clients had sent input. Reading the socket before a start refilled it. Why it works: input that is queued while a batch runs is processed behind the next select and its timers. IterationShare bounds messages (16), bytes (128 KiB), processor time (2 ms) and bytes read (128 KiB) of one connection in an iteration, whoever calls for its input: until now each answer, read and writable event started a batch of its own. Related paths: the continuation's timer (kept), endImmediately (its own limit of 1,024 messages, kept), reads before a start (128 KiB instead of 1 MiB), the discovery watch (bounded in time before).

--- a/router/src/main/java/basaltlever/net/ClientChannel.java
+++ b/router/src/main/java/basaltlever/net/ClientChannel.java
@@ -18,6 +18,8 @@
  */
 final class ClientChannel extends ChannelInboundHandlerAdapter implements ClientSocket {
   private final ClientConnection connection;
+  private final ClientReceiveAllocator receiveAllocator =
+      new ClientReceiveAllocator(IterationShare.MAX_READ_BYTES);
   private ChannelHandlerContext context;
 
   ClientChannel(ClientConnection connection) {
@@ -27,6 +29,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext channelContext) {
     context = channelContext;
+    channelContext.channel().config().setRecvByteBufAllocator(receiveAllocator);
     connection.attachSocket(this);
   }
 
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -12,6 +12,8 @@
 import basaltlever.time.Span;
 import io.netty.buffer.ByteBuf;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,11 +52,8 @@
   /** After this time without a read, the socket may hold an unread end of stream. */
   private static final Span MAX_READ_AGE = Span.ofMillis(10);
 
-  /** Messages of one client processed per batch, before other clients get their turn. */
-  private static final int MAX_MESSAGES_PER_BATCH = 16;
-
-  /** Batches of one client processed at once when the router stops. */
-  private static final int MAX_FINAL_BATCHES = 64;
+  /** Messages of one client processed at once when the router stops. */
+  private static final int MAX_FINAL_MESSAGES = 1_024;
 
   /**
    * Copying a small row into one buffer costs less than writing four slices (docs/performance.md).
@@ -65,6 +64,7 @@
   private final MemoryBudget budget;
   private final ClientInput input;
   private final ClientLifecycle lifecycle = new ClientLifecycle(this);
+  private final IterationShare share = new IterationShare();
   private ClientSocket socket;
 
   /**
@@ -196,15 +196,17 @@
 
   /** Processes buffered messages while no statement is in progress and the socket is writable. */
   private void processMessages() {
-    processMessages(continuationScheduled ? 0 : MAX_MESSAGES_PER_BATCH);
+    share.enterIteration(host.iteration(), host.now());
+    processMessages(() -> continuationScheduled || share.isUsedUp(host.now()));
   }
 
-  private void processMessages(int maxMessages) {
+  /** Processes buffered messages until none is left or the condition holds. */
+  private void processMessages(BooleanSupplier isOver) {
     if (!lifecycle.isOpen()) {
       return;
     }
     try {
-      boolean bufferDrained = processBatch(maxMessages);
+      boolean bufferDrained = processBatch(isOver);
       // One flush for the whole batch: each answer is a few bytes, and a system call for each would
       // cost more than all other work on it.
       socket.flush();
@@ -232,11 +234,9 @@
   }
 
   /** Returns false if complete messages remain for a later batch. */
-  private boolean processBatch(int maxMessages) throws ProtocolException {
-    for (int remaining = maxMessages;
-        lifecycle.canTakeMessage() && socket.isWritable();
-        remaining--) {
-      if (remaining == 0) {
+  private boolean processBatch(BooleanSupplier isOver) throws ProtocolException {
+    while (lifecycle.canTakeMessage() && socket.isWritable()) {
+      if (isOver.getAsBoolean()) {
         scheduleContinuation();
         return false;
       }
@@ -246,10 +246,12 @@
         if (!input.hasSkippedMessage()) {
           return true;
         }
+        share.countMessage(0);
         handleSkippedMessage();
         continue;
       }
       host.onMessageRead();
+      share.countMessage(message.readableBytes());
       if (starting) {
         handleStartupMessage(message);
       } else {
@@ -648,14 +650,17 @@
    */
   void endImmediately() {
     socket.readAvailable();
-    for (int i = 0; i < MAX_FINAL_BATCHES && hasPartialMessage(); i++) {
-      processMessages(MAX_MESSAGES_PER_BATCH);
-    }
+    processFinalMessages();
     if (!endIfIdle(CloseReason.SHUTDOWN)) {
       endWithError(shutdownError(), CloseReason.SHUTDOWN);
     }
   }
 
+  private void processFinalMessages() {
+    AtomicInteger remaining = new AtomicInteger(MAX_FINAL_MESSAGES);
+    processMessages(() -> remaining.getAndDecrement() <= 0);
+  }
+
   private static ProtocolException shutdownError() {
     return new ProtocolException(
         ProtocolCodes.CANNOT_CONNECT_NOW, "this router ends, and nothing was done");
--- a/router/src/main/java/basaltlever/net/ClientHost.java
+++ b/router/src/main/java/basaltlever/net/ClientHost.java
@@ -14,6 +14,9 @@
   /** Returns the earliest time at which the bytes that are read now may have arrived. */
   Moment earliestArrival();
 
+  /** Returns a number that identifies the current iteration of the event loop. */
+  long iteration();
+
   Counters counters();
 
   Descriptors descriptors();
--- a/router/src/main/java/basaltlever/net/ClientReceiveAllocator.java
+++ b/router/src/main/java/basaltlever/net/ClientReceiveAllocator.java
@@ -4,19 +4,48 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelConfig;
 
 /**
- * Allocates receive buffers for client sockets, and falls back to a small heap buffer when memory
- * is exhausted. Netty would close the connection instead, and pending answers would be lost. With
- * small buffers each read is short, and the message memory budget rejects what does not fit.
+ * Allocates the receive buffers of one client socket and bounds how much is read at a time. Falls
+ * back to a small heap buffer when memory is exhausted: Netty would close the connection instead,
+ * and pending answers would be lost. With small buffers each read is short, and the message memory
+ * budget rejects what does not fit.
  */
 final class ClientReceiveAllocator extends AdaptiveRecvByteBufAllocator {
   private static final int FALLBACK_BUFFER_BYTES = 512;
 
+  private final int maxBytes;
+  private int bytesRead;
+  private boolean drained;
+
+  /**
+   * Creates an allocator.
+   *
+   * @param maxBytes the first read that reaches this number of bytes is the last one of its
+   *     iteration
+   */
+  ClientReceiveAllocator(int maxBytes) {
+    this.maxBytes = maxBytes;
+    // A short read would end the iteration's reads, and leave an end of stream behind it unread.
+    respectMaybeMoreData(false);
+  }
+
+  /** Returns whether the last read found that the system had no more input. */
+  boolean isDrained() {
+    return drained;
+  }
+
   @Override
   @SuppressWarnings("deprecation")
   public Handle newHandle() {
     return new DelegatingHandle(super.newHandle()) {
+      @Override
+      public void reset(ChannelConfig config) {
+        super.reset(config);
+        bytesRead = 0;
+      }
+
       @Override
       public ByteBuf allocate(ByteBufAllocator allocator) {
         try {
@@ -25,6 +54,18 @@
           return Unpooled.buffer(FALLBACK_BUFFER_BYTES, FALLBACK_BUFFER_BYTES);
         }
       }
+
+      @Override
+      public void lastBytesRead(int bytes) {
+        super.lastBytesRead(bytes);
+        drained = bytes <= 0;
+        bytesRead += Math.max(0, bytes);
+      }
+
+      @Override
+      public boolean continueReading() {
+        return bytesRead < maxBytes && super.continueReading();
+      }
     };
   }
 }
--- a/router/src/main/java/basaltlever/net/ClientSessions.java
+++ b/router/src/main/java/basaltlever/net/ClientSessions.java
@@ -224,6 +224,11 @@
     return iteration.clock().now();
   }
 
+  @Override
+  public long iteration() {
+    return iteration.number();
+  }
+
   /** The client has disconnected or its connection is being ended. */
   @Override
   public void onClientLeft(ClientConnection connection, PendingStatement pendingStatement) {
--- a/router/src/main/java/basaltlever/net/LoopIteration.java
+++ b/router/src/main/java/basaltlever/net/LoopIteration.java
@@ -52,6 +52,10 @@
   private Consumer<Moment> firstStep;
 
   private boolean runScheduled;
+
+  /** Whether the batch of this iteration is being processed. */
+  private boolean running;
+
   private boolean selectingAgain;
   private Moment now;
   private Moment startedAt;
@@ -111,6 +115,11 @@
     return readinessClock.stalledTime();
   }
 
+  /** Returns the number of selects so far, which identifies the current iteration. */
+  long number() {
+    return readinessClock.selects();
+  }
+
   /** Returns the work of the current iteration. */
   IterationLoad load() {
     return load;
@@ -121,7 +130,13 @@
       runScheduled = true;
       readinessClock.earliestArrival();
       startedAt = clock.now();
-      loop.executeAfterEventLoopIteration(this::run);
+      if (running) {
+        // What is added while after-iteration tasks run would run in the same iteration, and no
+        // socket would be read and no timer fire for as long as effects produce input.
+        runAfterNextSelect(this::run);
+      } else {
+        loop.executeAfterEventLoopIteration(this::run);
+      }
     }
   }
 
@@ -160,6 +175,20 @@
     }
     runScheduled = false;
     selectingAgain = false;
+    running = true;
+    processBatch();
+    running = false;
+    Moment endedAt = clock.now();
+    if (endedAt.since(startedAt).isLongerThan(SLOW_THRESHOLD)) {
+      counters.increment(Counter.TURN_SLOW);
+      slowIterationLog.log(
+          endedAt.since(startedAt).micros() / 1_000,
+          "reading took " + now.since(startedAt).micros() / 1_000 + " ms of it, " + load);
+    }
+    load.reset();
+  }
+
+  private void processBatch() {
     if (firstStep != null) {
       runGuarded("checking the lease", () -> firstStep.accept(now));
     }
@@ -169,14 +198,6 @@
       runGuarded("carrying out an effect", effect);
     }
     runGuarded("running the last step of the iteration", lastStep);
-    Moment endedAt = clock.now();
-    if (endedAt.since(startedAt).isLongerThan(SLOW_THRESHOLD)) {
-      counters.increment(Counter.TURN_SLOW);
-      slowIterationLog.log(
-          endedAt.since(startedAt).micros() / 1_000,
-          "reading took " + now.since(startedAt).micros() / 1_000 + " ms of it, " + load);
-    }
-    load.reset();
   }
 
   /** Returns the offset between this process's clock and the servers' clocks. */
--- a/router/src/main/java/basaltlever/net/ReadinessClock.java
+++ b/router/src/main/java/basaltlever/net/ReadinessClock.java
@@ -40,6 +40,7 @@
   private Moment provenEmptyAt;
 
   private Moment earliestArrival;
+  private long selects;
   private Span stalledTime = Span.NONE;
 
   ReadinessClock(Supplier<Moment> clock) {
@@ -53,6 +54,7 @@
 
   /** Records that a select starts, which ends the previous iteration. */
   void onSelectStart() {
+    selects++;
     selectStartedAt = clock.get();
     Span handlingTime = selectStartedAt.since(handlingStartedAt);
     stalledTime =
@@ -61,6 +63,11 @@
     handling = false;
   }
 
+  /** Returns the number of selects that have started. */
+  long selects() {
+    return selects;
+  }
+
   /** Records the longest time that the current select may wait. */
   void onSelectWait(Span maxWait) {
     selectDueAt = selectStartedAt.plus(maxWait);
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -749,7 +749,6 @@
         .option(ChannelOption.RECVBUF_ALLOCATOR, acceptHandler.newAcceptAllocator())
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.ALLOCATOR, buffers)
-        .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ClientReceiveAllocator())
         .handler(acceptHandler)
         .childHandler(
             new ChannelInitializer<Channel>() {
--- a/router/src/test/java/basaltlever/FloodedRouterTest.java
+++ b/router/src/test/java/basaltlever/FloodedRouterTest.java
@@ -4,6 +4,7 @@
 import static basaltlever.LoopbackCluster.statement;
 
 import basaltlever.LoopbackCluster.Client;
+import basaltlever.LoopbackCluster.ResponseMode;
 import basaltlever.pg.MessageEncoder;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -30,6 +31,9 @@
    */
   private static final int MAX_WAIT_MILLIS = 4 * FLOODS * 5 + SLACK_MILLIS;
 
+  /** An answer later than this after its deadline counts as lost. */
+  private static final int LOST_AFTER_MILLIS = 500;
+
   private static final int STATEMENTS_PER_WRITE = 64;
   private static final int FLOOD_BEFORE_CALLS_MILLIS = 300;
   private static final int ROUNDS = 3;
@@ -171,6 +175,35 @@
     checkCallersWait(n -> statement("same", "view", 900));
   }
 
+  /** Guards against deadlines that do not fire while other clients flood the router (issue 72). */
+  @Example
+  void deadlinesFireBesideFloods() throws Exception {
+    try (LoopbackCluster cluster = new LoopbackCluster()) {
+      cluster.servers.forEach(server -> server.responseMode = ResponseMode.NO_RESPONSE);
+      List<Flood> floods = new ArrayList<>();
+      try {
+        for (int i = 0; i < FLOODS; i++) {
+          floods.add(new Flood(cluster.port, i + 1, n -> statement("f" + n, "view", 200)));
+        }
+        Thread.sleep(FLOOD_BEFORE_CALLS_MILLIS);
+        try (Client client = new Client(cluster.port)) {
+          client.sendStartup().readResponse();
+          long start = System.nanoTime();
+          String answer =
+              client.sendQuery(statement("due", "post", CALLER_TIMEOUT_MILLIS)).readResponse();
+          long waited = (System.nanoTime() - start) / 1_000_000;
+          check(
+              answer.startsWith("error:") && waited < CALLER_TIMEOUT_MILLIS + LOST_AFTER_MILLIS,
+              answer + " after " + waited + " ms");
+        }
+      } finally {
+        for (Flood flood : floods) {
+          flood.close();
+        }
+      }
+    }
+  }
+
   /** The same with large statements, whose bytes are the load. */
   @Example
   void callersAreAnsweredBesideFloodsOfLargeStatements() throws Exception {
--- a/router/src/test/java/basaltlever/net/ClientModel.java
+++ b/router/src/test/java/basaltlever/net/ClientModel.java
@@ -93,6 +93,7 @@
   private final ByteBuf receivedByClient = Unpooled.buffer();
   private int expectedAnswers;
   private int unitsSent;
+  private long iteration;
   private String violation = "";
 
   ClientModel(InjectedFault injectedFault) {
@@ -153,6 +154,7 @@
 
   void perform(Step step) {
     stepUses.merge(step, 1, Integer::sum);
+    iteration++;
     switch (step) {
       case SEND -> receiveUnit(unsentUnits.poll());
       case READ -> read();
@@ -219,6 +221,7 @@
   }
 
   private void runLater() {
+    iteration++;
     for (int left = laterTasks.size(); left > 0; left--) {
       laterTasks.poll().run();
     }
@@ -436,6 +439,11 @@
     return now;
   }
 
+  @Override
+  public long iteration() {
+    return iteration;
+  }
+
   @Override
   public Counters counters() {
     return counters;
