--- /dev/null
+++ b/router/src/test/java/basaltlever/StatementForms.java
@@ -0,0 +1,195 @@
+package basaltlever;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Generates queries that the protocol allows, and input that it does not, one fault at a time. */
+public final class StatementForms {
+  /** The largest value of the protocol, in bytes. */
+  private static final int MAX_VALUE_BYTES = 64 * 1024;
+
+  /**
+   * One client's input behind its startup.
+   *
+   * @param name the sentence of the protocol that the form keeps or breaks
+   * @param bytes what the client writes
+   */
+  public record Form(String name, byte[] bytes) {}
+
+  private StatementForms() {}
+
+  /** Returns forms that must be served, each with the given id. */
+  public static List<Form> sound(String id) {
+    String head = "/* id=" + id + ",c=view,d=900,cluster=1 */ ";
+    List<Form> forms = new ArrayList<>();
+    for (String text :
+        List.of(
+            head + "SELECT doc FROM items WHERE id = '7f3a9c21e0b4d655'",
+            head + "INSERT INTO items (id, doc) VALUES ('7f3a', '\\x9f03') RETURNING doc",
+            head + "SELECT 1;",
+            head + "SELECT 1 ; \n ;",
+            head + "SELECT 'a;b', 'it''s', \"od;d\"\"name\", $$;'$$, $t$;$t$, E'\\';' -- ;'",
+            head + "SELECT /* ; ' /* nested */ */ 1",
+            head + "SELECT 'schön € 😀'",
+            head + "SELECT $1, a$b$c",
+            " \n" + head + "SELECT 1",
+            head.replace(",cluster", ",r=1,cluster") + "SELECT 1",
+            head.replace(" */", ",after=1767225600123 */") + "SELECT 1",
+            head.replace(" */", ",k=5f,x1=,x2=a-b.c:d */") + "SELECT 1",
+            head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES) + "'",
+            head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES - 1) + "'''",
+            head + "SELECT '\\x" + "9f".repeat(MAX_VALUE_BYTES) + "'")) {
+      forms.add(new Form(text.substring(0, Math.min(text.length(), 120)), frame(text)));
+    }
+    return forms;
+  }
+
+  /** Returns forms that must not be served, each with the given id. */
+  public static List<Form> unsound(String id) {
+    List<Form> forms = new ArrayList<>();
+    unsoundTexts(id).forEach(text -> forms.add(new Form("text: " + shorten(text), frame(text))));
+    forms.addAll(unsoundFrames(id));
+    return forms;
+  }
+
+  private static List<String> unsoundTexts(String id) {
+    String fields = "id=" + id + ",c=view,d=900,cluster=1";
+    String head = "/* " + fields + " */ ";
+    String select = "SELECT doc FROM items WHERE id = 'k'";
+    List<String> texts =
+        new ArrayList<>(
+            List.of(
+                // One statement per query.
+                head + select + "; " + select,
+                head + select + ";SELECT 2;",
+                head + select + "; DELETE FROM items",
+                head + "; SELECT 1; SELECT 2",
+                "SET x = 1; " + head + select,
+                head,
+                head + " ; ",
+                head + "-- SELECT 1",
+                head + "/* SELECT 1 */",
+                // What is opened is closed.
+                head + select + " AND doc = 'x",
+                head + select + " AND \"doc = 1",
+                head + select + " /* x",
+                head + select + " AND doc = $$x",
+                head + select + " AND doc = $t$x$$",
+                head + select + " AND doc = E'x\\'",
+                "/* " + fields + " " + select,
+                "/* " + fields + ",x=/* */ " + select,
+                // Values of at most 64 KiB.
+                head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES + 1) + "'",
+                head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES) + "'''",
+                head + "SELECT '\\x" + "9f".repeat(MAX_VALUE_BYTES + 1) + "'",
+                head + "SELECT '\\x" + "9".repeat(2 * MAX_VALUE_BYTES + 1) + "'",
+                head + "SELECT $$" + "v".repeat(MAX_VALUE_BYTES + 1) + "$$",
+                head + "SELECT " + "9".repeat(MAX_VALUE_BYTES + 1),
+                // The comment holds names and values.
+                select,
+                "-- " + fields + "\n" + select,
+                "/ * " + fields + " */ " + select,
+                head.replace("id=" + id, "x=1") + select,
+                head.replace("c=view", "x=1") + select,
+                head.replace("c=view", "c=") + select,
+                head.replace("c=view", "c=nowhere") + select,
+                head.replace("c=view", "c=view c=post") + select,
+                head.replace("d=900", "x=900") + select,
+                head.replace("d=900", "d=") + select,
+                head.replace("d=900", "d=-900") + select,
+                head.replace("d=900", "d=9e2") + select,
+                head.replace("d=900", "d=900,d=901") + select,
+                head.replace("d=900", "d=99999999999999999999") + select,
+                head.replace("cluster=1", "cluster=one") + select,
+                head.replace("cluster=1", "cluster=4294967297") + select,
+                head.replace("cluster=1", "cluster=1,after=x") + select,
+                head.replace("cluster=1", "cluster=1,r=x") + select,
+                head.replace("cluster=1", "cluster=1,") + select,
+                head.replace("cluster=1", "cluster=1,,k=1") + select,
+                head.replace("cluster=1", "cluster=1,k") + select,
+                head.replace("cluster=1", "cluster=1,=k") + select,
+                head.replace("cluster=1", "cluster=1,k=a b") + select,
+                head.replace("cluster=1", "cluster=1,k='a'") + select,
+                head.replace("cluster=1", "cluster=1,k=\u0001") + select,
+                head.replace("cluster=1", "cluster=1,k=é") + select));
+    // Zero bytes: a query is one string.
+    for (int at : new int[] {0, 1, 8, head.length() - 1, head.length(), head.length() + 9}) {
+      texts.add(insertZero(head + select, at));
+    }
+    texts.add(head + select + "\0");
+    texts.add(head + select + "\0\0\0\0");
+    texts.add(head + select + "\0" + head + select);
+    texts.add(head + select + "\0; DROP TABLE items");
+    texts.add("\0" + "\0".repeat(40));
+    return texts;
+  }
+
+  private static String insertZero(String text, int at) {
+    return text.substring(0, at) + "\0" + text.substring(at);
+  }
+
+  private static List<Form> unsoundFrames(String id) {
+    String text = "/* id=" + id + ",c=view,d=900,cluster=1 */ SELECT doc FROM items";
+    List<Form> forms = new ArrayList<>();
+    byte[] next = frame("/* id=" + id + "n,c=view,d=900,cluster=1 */ SELECT doc FROM items");
+    for (int more : new int[] {1, 2, 3, 4, 5, 6, 40, next.length}) {
+      // The frame is longer than its text, and the next message makes up the rest.
+      forms.add(new Form("frame longer by " + more, join(frameOf(text, more), next)));
+    }
+    for (int fewer : new int[] {1, 2, 5, 9, 20, text.length()}) {
+      forms.add(new Form("frame shorter by " + fewer, frameOf(text, -fewer)));
+    }
+    byte[] frame = frame(text);
+    for (int type : new int[] {0, 'q', 'X' + 32, 'P', 'F', 'z'}) {
+      byte[] otherType = frame.clone();
+      otherType[0] = (byte) type;
+      forms.add(new Form("type " + type, otherType));
+    }
+    byte[] withoutEnd = frame.clone();
+    withoutEnd[frame.length - 1] = ' ';
+    forms.add(new Form("no zero byte", withoutEnd));
+    byte[] invalidText = frame.clone();
+    invalidText[frame.length - 2] = (byte) 0xff;
+    forms.add(new Form("invalid UTF-8", invalidText));
+    byte[] overlong = frame.clone();
+    overlong[frame.length - 3] = (byte) 0xc0;
+    overlong[frame.length - 2] = (byte) 0x80;
+    forms.add(new Form("a zero byte in overlong UTF-8", overlong));
+    forms.add(new Form("negative length", frameOf(text, -text.length() - 20)));
+    return forms;
+  }
+
+  /** Returns a random mutation of a sound query's frame; it may still be sound. */
+  public static byte[] mutate(String id, SplittableRandom random) {
+    List<Form> forms = sound(id);
+    byte[] bytes = forms.get(random.nextInt(forms.size() - 3)).bytes().clone();
+    for (int i = 1 + random.nextInt(3); i > 0; i--) {
+      bytes[random.nextInt(bytes.length)] = (byte) (random.nextInt(3) == 0 ? 0 : random.nextInt());
+    }
+    return bytes;
+  }
+
+  private static byte[] frame(String text) {
+    return frameOf(text, 0);
+  }
+
+  private static byte[] frameOf(String text, int lengthError) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    ByteBuf out = Unpooled.buffer(bytes.length + 6);
+    out.writeByte('Q').writeInt(bytes.length + 5 + lengthError).writeBytes(bytes).writeByte(0);
+    return ByteBufUtil.getBytes(out);
+  }
+
+  private static byte[] join(byte[] first, byte[] second) {
+    return ByteBufUtil.getBytes(Unpooled.wrappedBuffer(first, second));
+  }
+
+  private static String shorten(String text) {
+    return text.length() <= 160 ? text : text.substring(0, 160) + "... " + text.length();
+  }
+}
--- a/router/src/test/java/basaltlever/net/ClientModel.java
+++ b/router/src/test/java/basaltlever/net/ClientModel.java
@@ -79,6 +79,7 @@
   private boolean closingIdle;
   private boolean refusingAll;
   private PendingStatement pendingStatement;
+  private final List<String> submittedIds = new ArrayList<>();
 
   private ByteBuf receiveQueue = Unpooled.buffer();
   private boolean clientClosed;
@@ -137,6 +138,11 @@
     receiveQueue.writeBytes(bytes);
   }
 
+  /** Returns the ids of the statements that were submitted to the router. */
+  List<String> submittedIds() {
+    return submittedIds;
+  }
+
   boolean isEnabled(Step step) {
     return stepUses.getOrDefault(step, 0) < step.maxUses
         && switch (step) {
@@ -461,7 +467,11 @@
 
   @Override
   public int workloadIndex(Query query) throws ProtocolException {
-    return slots.of(query.workload);
+    int workload = slots.of(query.workload);
+    if (workload < 0) {
+      throw new ProtocolException(ProtocolCodes.PROTOCOL_VIOLATION, "unknown workload");
+    }
+    return workload;
   }
 
   @Override
@@ -470,6 +480,7 @@
     if (outputShutdown || closed) {
       violation = "a statement was submitted after the end of the connection";
     }
+    submittedIds.add(query.id);
     pendingStatement = new PendingStatement(1, client, text, query, arrivedAt, null);
     return pendingStatement;
   }
