One place says which statements are sound, before anything is sent on

Cause: handleQuery looked at the last byte of a frame only. A frame that is longer than its text takes the head of the next message as its rest, and that (a type and a length) ends in a zero byte; so text, zero byte and rest were sent on as one statement as soon as the rest came. Nothing looked at the text behind the comment at all. Query: plain names and values, r is 0 or 1.

--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -8,6 +8,8 @@
 import basaltlever.pg.ProtocolCodes;
 import basaltlever.pg.ProtocolException;
 import basaltlever.pg.Query;
+import basaltlever.pg.StartupMessage;
+import basaltlever.pg.StatementSyntax;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.buffer.ByteBuf;
@@ -396,6 +398,7 @@
           ProtocolCodes.FEATURE_NOT_SUPPORTED,
           "protocol version " + (version >>> 16) + " is not spoken here");
     } else {
+      StartupMessage.checkParameters(message.skipBytes(2 * Integer.BYTES));
       ByteBuf out = socket.alloc().buffer();
       if (version != ProtocolCodes.PROTOCOL_VERSION) {
         MessageEncoder.writeNegotiateProtocolVersion(out);
@@ -463,38 +466,45 @@
           ProtocolCodes.PROTOCOL_VIOLATION, "a query does not end in a zero byte");
     }
     ByteBuf text = message.slice(message.readerIndex(), message.readableBytes() - 1);
-    String commandTag = Query.findSessionCommand(text);
+    try {
+      handleQueryText(text);
+    } catch (ProtocolException exception) {
+      host.onInvalidInput(socket.remoteAddress(), exception.getMessage());
+      writeReply(
+          out ->
+              MessageEncoder.writeErrorResponse(
+                  out, "ERROR", exception.sqlState, exception.getMessage(), null));
+    }
+  }
+
+  private void handleQueryText(ByteBuf text) throws ProtocolException {
+    StatementSyntax.checkString(text);
     if (Query.isBlank(text)) {
       writeReply(MessageEncoder::writeEmptyQueryResponse);
-    } else if (commandTag != null) {
+      return;
+    }
+    StatementSyntax.checkStatement(text);
+    String commandTag = Query.findSessionCommand(text);
+    if (commandTag != null) {
       writeReply(out -> MessageEncoder.writeCommandComplete(out, commandTag));
     } else {
       submitStatement(text);
     }
   }
 
-  private void submitStatement(ByteBuf text) {
-    try {
-      Query query = Query.parse(text);
-      int workload = host.workloadIndex(query);
-      if (host.isRefusingAll()) {
-        host.counters().increment(Counter.REFUSED_SHUTDOWN);
-        throw new ProtocolException(
-            ProtocolCodes.TOO_MANY_CONNECTIONS, "this router ends, and nothing was done");
-      }
-      // The copy outlives the read buffer, since later executions send the text again.
-      ByteBuf statementText = socket.alloc().buffer(text.readableBytes()).writeBytes(text);
-      pendingStatement =
-          host.submit(this, statementText, query, workload, input.messageArrivedAt());
-      lifecycle.onStatementSubmitted();
-      host.descriptors().markBusy(this);
-    } catch (ProtocolException exception) {
-      host.onInvalidInput(socket.remoteAddress(), exception.getMessage());
-      writeReply(
-          out ->
-              MessageEncoder.writeErrorResponse(
-                  out, "ERROR", exception.sqlState, exception.getMessage(), null));
+  private void submitStatement(ByteBuf text) throws ProtocolException {
+    Query query = Query.parse(text);
+    int workload = host.workloadIndex(query);
+    if (host.isRefusingAll()) {
+      host.counters().increment(Counter.REFUSED_SHUTDOWN);
+      throw new ProtocolException(
+          ProtocolCodes.TOO_MANY_CONNECTIONS, "this router ends, and nothing was done");
     }
+    // The copy outlives the read buffer, since later executions send the text again.
+    ByteBuf statementText = socket.alloc().buffer(text.readableBytes()).writeBytes(text);
+    pendingStatement = host.submit(this, statementText, query, workload, input.messageArrivedAt());
+    lifecycle.onStatementSubmitted();
+    host.descriptors().markBusy(this);
   }
 
   /** Writes an answer without a flush; {@link #processMessages} flushes once for the batch. */
--- a/router/src/main/java/basaltlever/pg/Query.java
+++ b/router/src/main/java/basaltlever/pg/Query.java
@@ -20,6 +20,7 @@
   private static final String TIMEOUT_KEY = "d";
   private static final String GROUP_KEY = "cluster";
   private static final String COMMIT_KEY = "after";
+  private static final String RETRY_KEY = "r";
 
   private static final long MAX_TIMEOUT_MILLIS = 24 * 60 * 60 * 1_000;
 
@@ -73,8 +74,10 @@
       int comma = comment.indexOf(',', start);
       int end = comma < 0 ? comment.length() : comma;
       int equals = findEqualsSign(comment, start, end);
-      String key = comment.substring(start, equals).trim();
-      putOnce(fields, key, comment.substring(equals + 1, end).trim());
+      String key = stripSpaces(comment, start, equals);
+      String value = stripSpaces(comment, equals + 1, end);
+      checkField(key, value);
+      putOnce(fields, key, value);
       if (key.equals(TIMEOUT_KEY)) {
         timeoutStart = commentOffset + equals + 1;
         timeoutEnd = commentOffset + end;
@@ -91,10 +94,11 @@
         (int) parseNumber(GROUP_KEY, fields.getOrDefault(GROUP_KEY, "0"), Integer.MAX_VALUE);
     this.lastCommitMillis =
         parseNumber(COMMIT_KEY, fields.getOrDefault(COMMIT_KEY, "0"), MAX_COMMIT_MILLIS);
+    parseNumber(RETRY_KEY, fields.getOrDefault(RETRY_KEY, "1"), 1);
     this.sessionHash = sessionHash;
   }
 
-  /** Parses the text of a query without its terminating zero byte. */
+  /** Parses the text of a query that {@link StatementSyntax} has checked. */
   public static Query parse(ByteBuf text) throws ProtocolException {
     int commentStart = findCommentStart(text);
     int commentEnd = findCommentEnd(text, commentStart);
@@ -142,6 +146,35 @@
     return equals;
   }
 
+  private static String stripSpaces(String comment, int from, int to) {
+    int start = from;
+    int end = to;
+    while (start < end && StatementSyntax.isSpace((byte) comment.charAt(start))) {
+      start++;
+    }
+    while (start < end && StatementSyntax.isSpace((byte) comment.charAt(end - 1))) {
+      end--;
+    }
+    return comment.substring(start, end);
+  }
+
+  private static void checkField(String key, String value) throws ProtocolException {
+    if (key.isEmpty() || !isPlain(key) || !isPlain(value)) {
+      throw ProtocolException.violation("the comment holds a malformed name or value");
+    }
+  }
+
+  /** Returns whether all characters are printable ASCII, without spaces, quotes and comments. */
+  private static boolean isPlain(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char character = text.charAt(i);
+      if (character <= ' ' || character > '~' || "'\"\\*".indexOf(character) >= 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static void putOnce(Map<String, String> fields, String key, String value)
       throws ProtocolException {
     if (fields.put(key, value) != null) {
@@ -229,9 +262,7 @@
 
   private static int skipWhitespace(ByteBuf text, int from) {
     int offset = from;
-    while (offset < text.readableBytes()
-        && byteAt(text, offset) <= ' '
-        && byteAt(text, offset) >= 0) {
+    while (offset < text.readableBytes() && StatementSyntax.isSpace(byteAt(text, offset))) {
       offset++;
     }
     return offset;
--- a/router/src/test/java/basaltlever/StatementForms.java
+++ b/router/src/test/java/basaltlever/StatementForms.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 
 /** Generates queries that the protocol allows, and input that it does not, one fault at a time. */
 public final class StatementForms {
@@ -116,7 +115,9 @@
                 head.replace("cluster=1", "cluster=1,k=a b") + select,
                 head.replace("cluster=1", "cluster=1,k='a'") + select,
                 head.replace("cluster=1", "cluster=1,k=\u0001") + select,
-                head.replace("cluster=1", "cluster=1,k=é") + select));
+                head.replace("cluster=1", "cluster=1,k=é") + select,
+                "\u0001" + head + select,
+                head.replace("cluster=1", "cluster=1\u0002") + select));
     // Zero bytes: a query is one string.
     for (int at : new int[] {0, 1, 8, head.length() - 1, head.length(), head.length() + 9}) {
       texts.add(insertZero(head + select, at));
@@ -164,16 +165,6 @@
     return forms;
   }
 
-  /** Returns a random mutation of a sound query's frame; it may still be sound. */
-  public static byte[] mutate(String id, SplittableRandom random) {
-    List<Form> forms = sound(id);
-    byte[] bytes = forms.get(random.nextInt(forms.size() - 3)).bytes().clone();
-    for (int i = 1 + random.nextInt(3); i > 0; i--) {
-      bytes[random.nextInt(bytes.length)] = (byte) (random.nextInt(3) == 0 ? 0 : random.nextInt());
-    }
-    return bytes;
-  }
-
   private static byte[] frame(String text) {
     return frameOf(text, 0);
   }
