No id is executed twice, and nothing starts before its client's input is read

Two faults in one commit, since both are decided where a statement starts (ClientSessions.startOnceInputIsRead). Causes: nothing in the router knew ids. And a statement started as soon as it was whole: the end of its client's stream lies behind all that the client wrote, and with 40 clients and 62 MB that was read 230 to 440 ms later. A client that sends for 250 ms without a pause is rejected (53300): nothing proves that it is still there. A read that ended at its limit just as the socket was empty left the statement waiting (seen in PipelineLimitTest while writing this), so the start reads for itself.

--- a/router/src/main/java/basaltlever/log/Counter.java
+++ b/router/src/main/java/basaltlever/log/Counter.java
@@ -86,6 +86,10 @@
    * to buffer it.
    */
   REFUSED_SENT_AHEAD,
+  /** Input of the client did not end for long, so it was not known whether it had disconnected. */
+  REFUSED_UNREAD_INPUT,
+  /** A statement with the same id was executed before or is in progress. */
+  REFUSED_REPEATED_ID,
   /** The router is shutting down. */
   REFUSED_SHUTDOWN,
   /** A statement was reported as failed, but may have taken effect. */
--- a/router/src/main/java/basaltlever/net/AttemptExecutor.java
+++ b/router/src/main/java/basaltlever/net/AttemptExecutor.java
@@ -1,5 +1,6 @@
 package basaltlever.net;
 
+import basaltlever.balancer.StatementIds;
 import basaltlever.core.Effects;
 import basaltlever.core.LoadReportFormat;
 import basaltlever.core.StatementRouter;
@@ -66,6 +67,7 @@
   /** Returns the current fencing token. An attempt decided under another token is not sent. */
   private ToIntFunction<Moment> fencingTokenSource = now -> 0;
 
+  private final StatementIds statementIds = new StatementIds();
   private final LongObjectHashMap<PendingStatement> statements = new LongObjectHashMap<>();
 
   /** Unanswered statements, ordered by answer deadline. */
@@ -179,10 +181,18 @@
     return statements.size();
   }
 
-  void add(PendingStatement pendingStatement) {
+  /**
+   * Opens a statement, which is answered by its deadline from now on; returns false if its id is
+   * open or was executed before.
+   */
+  boolean open(PendingStatement pendingStatement) {
+    if (!statementIds.open(pendingStatement.query.idHash)) {
+      return false;
+    }
     statements.put(pendingStatement.ticket, pendingStatement);
     unansweredByDeadline.add(pendingStatement);
     scheduleDeadlineCheck(pendingStatement.answerDeadline.plus(DEADLINE_GUARD_DELAY));
+    return true;
   }
 
   private void scheduleDeadlineCheck(Moment checkAt) {
@@ -244,17 +254,22 @@
     expireStatements(now, Moment.NEVER);
   }
 
-  /**
-   * Rejects a statement above the configured limit of open statements before it reaches the core.
-   */
-  void rejectTooManyOpen(PendingStatement pendingStatement) {
-    counters.increment(Counter.REFUSED_TOO_MANY_OPEN);
+  /** Rejects a statement before it reaches the core. */
+  void rejectUnstarted(PendingStatement pendingStatement, Counter reason, String message) {
+    counters.increment(reason);
+    iteration.addEffect(
+        () -> answerError(pendingStatement, ProtocolCodes.TOO_MANY_CONNECTIONS, message, null));
+  }
+
+  /** Answers a statement whose id was used before; nothing promises that a retry is harmless. */
+  void rejectRepeatedId(PendingStatement pendingStatement) {
+    counters.increment(Counter.REFUSED_REPEATED_ID);
     iteration.addEffect(
         () ->
             answerError(
                 pendingStatement,
-                ProtocolCodes.TOO_MANY_CONNECTIONS,
-                "too many statements are open",
+                ProtocolCodes.PROTOCOL_VIOLATION,
+                "the id was used before, and nothing was done",
                 null));
   }
 
@@ -303,7 +318,9 @@
         && pendingStatement.openAttempts == 0
         && !pendingStatement.released) {
       pendingStatement.released = true;
-      statements.remove(pendingStatement.ticket);
+      if (statements.remove(pendingStatement.ticket) != null) {
+        statementIds.close(pendingStatement.query.idHash);
+      }
       budget.release(pendingStatement.text.capacity());
       pendingStatement.text.release();
     }
@@ -545,6 +562,7 @@
       pendingStatement.client.readIfStale();
       return pendingStatement.answered
           || !pendingStatement.client.isWaitingFor(pendingStatement)
+          || !pendingStatement.client.isInputRead()
           || now.isAfter(sendBy)
           || fencingTokenSource.applyAsInt(now) != fencingToken;
     }
@@ -554,6 +572,7 @@
       if (pendingStatement.trace != null) {
         trace.recordStep(pendingStatement.trace, attemptNumber + "w");
       }
+      statementIds.markExecuted(pendingStatement.query.idHash);
       long remainingMicros = Math.max(1, deadline.since(iteration.clock().now()).micros());
       MessageEncoder.writeQuery(
           out,
--- a/router/src/main/java/basaltlever/net/ClientChannel.java
+++ b/router/src/main/java/basaltlever/net/ClientChannel.java
@@ -105,6 +105,11 @@
     }
   }
 
+  @Override
+  public boolean isDrained() {
+    return receiveAllocator.isDrained();
+  }
+
   @Override
   public void setAutoRead(boolean autoRead) {
     context.channel().config().setAutoRead(autoRead);
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -51,6 +51,8 @@
   /** Time after which any half-closed connection makes way for a client that needs a descriptor. */
   static final Span MAX_TIME_TO_FREE_DESCRIPTOR = MIN_HALF_CLOSED_TIME_BEFORE_STATEMENT;
 
+  private static final int MAX_READS_BEFORE_CLOSE = 8;
+
   /** After this time without a read, the socket may hold an unread end of stream. */
   private static final Span MAX_READ_AGE = Span.ofMillis(10);
 
@@ -332,8 +334,7 @@
             lifecycle.state() == ClientLifecycle.State.FLUSHING
                 ? CLIENT_TIMEOUT
                 : HALF_CLOSED_TIMEOUT)) {
-      // Closing the socket over unread bytes would reset the connection.
-      socket.readAvailable();
+      readBeforeClose();
       socket.close();
     }
   }
@@ -572,31 +573,48 @@
   }
 
   /**
-   * Reads the socket if it was not read lately, since the client may have disconnected meanwhile.
+   * Reads the socket if it was not read lately or not to its end, since the client may have
+   * disconnected meanwhile.
    */
   void readIfStale() {
-    if (lifecycle.isBusy() && host.now().since(lastReadAt).isLongerThan(MAX_READ_AGE)) {
-      lastReadAt = host.now();
-      socket.readAvailable();
-    }
+    readIfStale(lastReadAt);
   }
 
   /**
-   * Reads the socket if the statement waited unread, since the client's end of stream may be unread
-   * behind it.
+   * Reads the socket if the statement waited unread or the socket was not read to its end, since
+   * the client's end of stream may be unread behind it.
    */
   void readIfStatementWaited(Moment arrivedAt) {
-    if (lifecycle.isBusy() && host.now().since(arrivedAt).isLongerThan(MAX_READ_AGE)) {
+    readIfStale(arrivedAt);
+  }
+
+  private void readIfStale(Moment since) {
+    boolean stale = host.now().since(since).isLongerThan(MAX_READ_AGE);
+    if (lifecycle.isBusy() && (stale || !socket.isDrained())) {
       lastReadAt = host.now();
       socket.readAvailable();
     }
   }
 
+  /** Whether the client's input was read to its end, so that its end of stream is known. */
+  boolean isInputRead() {
+    return socket.isDrained();
+  }
+
   @Override
   public void readAvailable() {
     socket.readAvailable();
   }
 
+  /** Reads before the socket is closed, which would reset the connection over unread bytes. */
+  private void readBeforeClose() {
+    int reads = 0;
+    do {
+      socket.readAvailable();
+      reads++;
+    } while (reads < MAX_READS_BEFORE_CLOSE && !socket.isDrained());
+  }
+
   @Override
   public boolean hasPartialMessage() {
     return !input.isEmpty();
@@ -659,7 +677,7 @@
    * them gets no more than the socket takes.
    */
   void endImmediately() {
-    socket.readAvailable();
+    readBeforeClose();
     processFinalMessages();
     if (!endIfIdle(CloseReason.SHUTDOWN)) {
       endWithError(shutdownError(), CloseReason.SHUTDOWN);
@@ -705,10 +723,6 @@
     socket.setAutoRead(true);
   }
 
-  /**
-   * Reads the socket once more before the close, since closing over unread bytes would reset the
-   * connection.
-   */
   @Override
   public boolean closeIfLingered() {
     Span minLingerTime =
@@ -719,7 +733,7 @@
         || host.now().since(endBegunAt).isShorterThan(minLingerTime)) {
       return false;
     }
-    socket.readAvailable();
+    readBeforeClose();
     socket.close();
     return true;
   }
--- a/router/src/main/java/basaltlever/net/ClientSessions.java
+++ b/router/src/main/java/basaltlever/net/ClientSessions.java
@@ -22,6 +22,12 @@
   /** Time for which an idle connection is not shed. */
   private static final Span MIN_IDLE_TIME = Span.ofMillis(2_000);
 
+  /**
+   * Longest time for which a statement waits until its client's input is read to the end. A client
+   * that sends faster than it is read is rejected then.
+   */
+  private static final Span MAX_UNREAD_TIME = Span.ofMillis(250);
+
   private final LoopIteration iteration;
   private final Descriptors descriptors;
   private WorkloadSlots slots;
@@ -168,39 +174,71 @@
           // The deadline counts from the arrival of the statement, not from when it was read.
           pendingStatement.answerDeadline =
               arrivedAt.plus(Span.ofMillis((double) query.timeoutMillis)).earlier(shutdownDeadline);
-          // If the event loop was stalled, the client may have disconnected, with its end of stream
-          // still unread.
-          client.readIfStatementWaited(arrivedAt);
-          if (!client.isWaitingFor(pendingStatement)) {
-            return;
-          }
-          if (executor.openStatements() >= maxOpenStatements || !fits) {
-            executor.rejectTooManyOpen(pendingStatement);
-            return;
-          }
-          trace.recordStep(pendingStatement.trace, "taken");
-          executor.add(pendingStatement);
-          executor.runGuarded(
-              pendingStatement,
-              () ->
-                  statementRouter.onStatementReceived(
-                      now,
-                      pendingStatement.ticket,
-                      new StatementRequest(
-                          workload,
-                          query.group,
-                          query.sessionHash,
-                          pendingStatement.answerDeadline,
-                          query.lastCommitMillis == 0
-                              ? Moment.LONG_AGO
-                              : iteration
-                                  .clockOffset()
-                                  .correctCommit(new Moment(query.lastCommitMillis * 1_000)),
-                          pendingStatement.text.capacity())));
+          Moment latestStart = now.plus(MAX_UNREAD_TIME).earlier(pendingStatement.answerDeadline);
+          startOnceInputIsRead(now, pendingStatement, workload, fits, latestStart);
         });
     return pendingStatement;
   }
 
+  /**
+   * Starts the statement once its client's input is read to the end, in this iteration or a later
+   * one: until then the client may have disconnected, with its end of stream behind unread input.
+   */
+  private void startOnceInputIsRead(
+      Moment now,
+      PendingStatement pendingStatement,
+      int workload,
+      boolean fits,
+      Moment latestStart) {
+    ClientConnection client = pendingStatement.client;
+    // If the event loop was stalled, the client's end of stream may have arrived since the read.
+    client.readIfStatementWaited(pendingStatement.arrivedAt);
+    if (!client.isWaitingFor(pendingStatement)) {
+      return;
+    }
+    if (client.isInputRead()) {
+      start(now, pendingStatement, workload, fits);
+    } else if (now.isBefore(latestStart)) {
+      iteration.enqueue(
+          next -> startOnceInputIsRead(next, pendingStatement, workload, fits, latestStart));
+    } else {
+      executor.rejectUnstarted(
+          pendingStatement, Counter.REFUSED_UNREAD_INPUT, "the client sends without a pause");
+    }
+  }
+
+  private void start(Moment now, PendingStatement pendingStatement, int workload, boolean fits) {
+    if (executor.openStatements() >= maxOpenStatements || !fits) {
+      executor.rejectUnstarted(
+          pendingStatement, Counter.REFUSED_TOO_MANY_OPEN, "too many statements are open");
+      return;
+    }
+    if (!executor.open(pendingStatement)) {
+      invalidInputLog.log("id " + pendingStatement.query.id, "the id was used before");
+      executor.rejectRepeatedId(pendingStatement);
+      return;
+    }
+    trace.recordStep(pendingStatement.trace, "taken");
+    Query query = pendingStatement.query;
+    executor.runGuarded(
+        pendingStatement,
+        () ->
+            statementRouter.onStatementReceived(
+                now,
+                pendingStatement.ticket,
+                new StatementRequest(
+                    workload,
+                    query.group,
+                    query.sessionHash,
+                    pendingStatement.answerDeadline,
+                    query.lastCommitMillis == 0
+                        ? Moment.LONG_AGO
+                        : iteration
+                            .clockOffset()
+                            .correctCommit(new Moment(query.lastCommitMillis * 1_000)),
+                    pendingStatement.text.capacity())));
+  }
+
   /** Ends connections that have timed out and sheds idle ones; called periodically. */
   void sweep() {
     Moment now = now();
--- a/router/src/main/java/basaltlever/net/ClientSocket.java
+++ b/router/src/main/java/basaltlever/net/ClientSocket.java
@@ -31,6 +31,9 @@
    */
   void readAvailable();
 
+  /** Whether the last read found that the system has received no more input. */
+  boolean isDrained();
+
   /** Whether input is read as it arrives. */
   void setAutoRead(boolean autoRead);
 
--- a/router/src/main/java/basaltlever/pg/Query.java
+++ b/router/src/main/java/basaltlever/pg/Query.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /**
  * The attributes of a statement, which the client states in a comment before the statement. The
@@ -30,6 +31,9 @@
   private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
 
+  /** Differs from process to process, so that clients cannot choose ids with equal hashes. */
+  private static final long ID_HASH_SEED = new SplittableRandom().nextLong();
+
   /** Commands that change only the state of the client's session. */
   private static final String[] SESSION_COMMANDS = {"SET", "RESET", "DISCARD"};
 
@@ -42,6 +46,9 @@
   /** The identifier of the statement, as the client chose it. */
   public final String id;
 
+  /** Hash of the identifier, seeded for this process. */
+  public final long idHash;
+
   /** The key of the workload. */
   public final String workload;
 
@@ -88,6 +95,7 @@
     this.timeoutEnd = timeoutEnd;
     this.workload = requiredField(fields, WORKLOAD_KEY);
     this.id = requiredField(fields, ID_KEY);
+    this.idHash = hash(this.id, ID_HASH_SEED);
     this.timeoutMillis =
         parseNumber(TIMEOUT_KEY, requiredField(fields, TIMEOUT_KEY), MAX_TIMEOUT_MILLIS);
     this.group =
@@ -205,6 +213,15 @@
     return number;
   }
 
+  /** Returns the FNV-1a hash of the text, of which each character is one byte. */
+  private static long hash(String text, long seed) {
+    long hash = seed;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return hash;
+  }
+
   /**
    * Returns the FNV-1a hash of the first quoted literal, or 0 if there is none. A hash of 0 is
    * replaced by 1.
--- a/router/src/test/java/basaltlever/net/ClientModel.java
+++ b/router/src/test/java/basaltlever/net/ClientModel.java
@@ -399,6 +399,11 @@
     }
   }
 
+  @Override
+  public boolean isDrained() {
+    return !receiveQueue.isReadable();
+  }
+
   @Override
   public void setAutoRead(boolean autoRead) {
     // The exploration covers every order of reads anyway.
