One bound for the input of all clients, and slow sound clients keep their service

Causes: a connection was ended 2.3 s after its message began, however steadily it came. The budget was one for input, texts and answers of servers, the last to ask was refused, and one connection could hold 1 MB in buffers of up to twice that size. Clients that read no answers were read on. Change: InputMemory holds the bound (half of the budget) and decides whose input gives way: of the client that has sent nothing for longest, else what began last; its messages are rejected one by one. The silence of a client counts from its last byte, and a message may take 30 s. Buffers fit their message. What is read at a time shrinks with the free memory; a client that does not read is not read. Beyond 512 messages of all clients in an iteration each gets one: 250 clients that read nothing had made iterations of 240 ms. ProtocolException has no stack trace.

--- a/router/src/main/java/basaltlever/net/AttemptExecutor.java
+++ b/router/src/main/java/basaltlever/net/AttemptExecutor.java
@@ -562,11 +562,15 @@
       pendingStatement.client.readIfStale();
       return pendingStatement.answered
           || !pendingStatement.client.isWaitingFor(pendingStatement)
-          || !pendingStatement.client.isInputRead()
           || now.isAfter(sendBy)
           || fencingTokenSource.applyAsInt(now) != fencingToken;
     }
 
+    @Override
+    boolean isReadyToSend() {
+      return pendingStatement.client.isInputRead();
+    }
+
     @Override
     void write(ByteBuf out) {
       if (pendingStatement.trace != null) {
--- a/router/src/main/java/basaltlever/net/ClientChannel.java
+++ b/router/src/main/java/basaltlever/net/ClientChannel.java
@@ -18,12 +18,12 @@
  */
 final class ClientChannel extends ChannelInboundHandlerAdapter implements ClientSocket {
   private final ClientConnection connection;
-  private final ClientReceiveAllocator receiveAllocator =
-      new ClientReceiveAllocator(IterationShare.MAX_READ_BYTES);
+  private final ClientReceiveAllocator receiveAllocator;
   private ChannelHandlerContext context;
 
   ClientChannel(ClientConnection connection) {
     this.connection = connection;
+    receiveAllocator = new ClientReceiveAllocator(connection::maxReadBytes);
   }
 
   @Override
--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -29,11 +29,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
 
   /**
-   * Timeout for the startup message, the first statement, the rest of a message and the writing of
-   * a final error. Such a connection has to be ended within 3 s.
+   * Timeout for the first or next bytes of a startup message, the first statement and the rest of a
+   * message, and for the writing of a final error. Such a connection has to be ended within 3 s.
    */
   private static final Span CLIENT_TIMEOUT = Span.ofMillis(2_300);
 
+  /** Time for a message that arrives slowly; after it, its connection is ended as a silent one. */
+  private static final Span MAX_MESSAGE_TIME = Span.ofMillis(30_000);
+
   /**
    * Time for the client to close a half-closed connection. A client that reads the end of the
    * stream closes its side much sooner.
@@ -90,6 +93,9 @@
 
   private final long number;
 
+  /** When the last bytes of the client were read. */
+  private Moment lastReceivedAt = Moment.LONG_AGO;
+
   /** Start of the timeout for the startup message and the first statement. */
   private Moment silenceStart;
 
@@ -133,7 +139,7 @@
     this.budget = budget;
     this.number = number;
     this.queuedSince = queuedSince;
-    input = new ClientInput(budget);
+    input = new ClientInput(budget, host.inputMemory());
     lastReadAt = host.now();
     silenceStart = lastReadAt;
     this.silentSince = silentSince;
@@ -167,6 +173,7 @@
   /** Takes ownership of the buffer. */
   void onBytesReceived(ByteBuf bytes) {
     lastReadAt = host.now();
+    lastReceivedAt = lastReadAt;
     if (startupMessageBytes == 0 && bytes.readableBytes() >= Integer.BYTES) {
       startupMessageBytes = bytes.getInt(bytes.readerIndex());
     }
@@ -189,10 +196,10 @@
   private void buffer(ByteBuf bytes) throws ProtocolException {
     Moment arrivedAt = queuedSince == null ? host.earliestArrival() : queuedSince;
     if (lifecycle.state() == ClientLifecycle.State.STARTING) {
-      input.addStartupBytes(bytes, arrivedAt);
+      input.addStartupBytes(bytes, arrivedAt, lastReceivedAt);
       return;
     }
-    String skipReason = input.add(bytes, arrivedAt, lifecycle.isBusy());
+    String skipReason = input.add(bytes, arrivedAt, lastReceivedAt, lifecycle.isBusy());
     if (skipReason != null) {
       host.onInvalidInput(socket.remoteAddress(), skipReason);
     }
@@ -201,7 +208,8 @@
   /** Processes buffered messages while no statement is in progress and the socket is writable. */
   private void processMessages() {
     share.enterIteration(host.iteration(), host.now());
-    processMessages(() -> continuationScheduled || share.isUsedUp(host.now()));
+    processMessages(
+        () -> continuationScheduled || share.isUsedUp(host.now(), host.messagesReadInIteration()));
   }
 
   /** Processes buffered messages until none is left or the condition holds. */
@@ -225,18 +233,30 @@
           && bufferDrained) {
         endWithError(deferredError, CloseReason.PROTOCOL_ERROR);
       } else if (lifecycle.isOpen()) {
-        // The buffer of pipelined messages is bounded. While the client waits for an answer,
-        // reading continues, so that its end of stream is seen.
-        socket.setAutoRead(
-            lifecycle.isBusy()
-                || deferredError != null
-                || input.bufferedBytes() <= ClientInput.MAX_MESSAGE_BYTES);
+        socket.setAutoRead(isInputWanted(bufferDrained));
       }
     } catch (ProtocolException exception) {
       endWithError(exception, CloseReason.PROTOCOL_ERROR);
     }
   }
 
+  /**
+   * The buffer of pipelined messages is bounded, and a client that does not read is not read
+   * either. While a statement is in progress, reading continues, so that the client's end of stream
+   * is seen.
+   */
+  private boolean isInputWanted(boolean bufferDrained) {
+    return lifecycle.isBusy()
+        || deferredError != null
+        || bufferDrained && socket.isWritable()
+        || input.bufferedBytes() <= maxReadBytes() && socket.isWritable();
+  }
+
+  /** Returns how much may be read from the socket at a time. */
+  int maxReadBytes() {
+    return host.inputMemory().allowance(IterationShare.MAX_READ_BYTES);
+  }
+
   /** Returns false if complete messages remain for a later batch. */
   private boolean processBatch(BooleanSupplier isOver) throws ProtocolException {
     while (lifecycle.canTakeMessage() && socket.isWritable()) {
@@ -359,10 +379,14 @@
     }
   }
 
+  /** A client that sends slowly is not silent, within the time for a message. */
   private boolean isSilent(Moment now) {
+    Moment waitingSince = messageReceived ? partialMessageSince : silenceStart;
+    boolean stopped = now.since(waitingSince.later(lastReceivedAt)).isLongerThan(CLIENT_TIMEOUT);
+    boolean overdue = now.since(waitingSince).isLongerThan(MAX_MESSAGE_TIME);
     return lifecycle.canTakeMessage()
-        && now.since(messageReceived ? partialMessageSince : silenceStart)
-            .isLongerThan(CLIENT_TIMEOUT);
+        && waitingSince.isBefore(Moment.NEVER)
+        && (stopped || overdue);
   }
 
   void onWritabilityChanged() {
--- a/router/src/main/java/basaltlever/net/ClientHost.java
+++ b/router/src/main/java/basaltlever/net/ClientHost.java
@@ -21,6 +21,9 @@
 
   Descriptors descriptors();
 
+  /** Returns the bound of the unprocessed input of all clients. */
+  InputMemory inputMemory();
+
   StatementTracer trace();
 
   /** Returns the index of the query's workload, or throws if no workload has that name. */
@@ -50,6 +53,9 @@
 
   void onMessageRead();
 
+  /** Returns how many messages of all clients were read in this iteration. */
+  int messagesReadInIteration();
+
   /** Runs the step after all reads of this event loop iteration. */
   void runAfterReads(Runnable step);
 
--- a/router/src/main/java/basaltlever/net/ClientInput.java
+++ b/router/src/main/java/basaltlever/net/ClientInput.java
@@ -12,7 +12,7 @@
  * The unprocessed input of one client connection: buffered messages, and behind them those that did
  * not fit, of which only the type is kept so that each can be rejected in its turn.
  */
-final class ClientInput {
+final class ClientInput implements InputMemory.Holder {
   /** Fits a value of 64 KiB in hexadecimal, with its statement. */
   static final int MAX_MESSAGE_BYTES = 1 << 18;
 
@@ -25,6 +25,8 @@
    */
   private static final int MAX_PIPELINED_BYTES = 1 << 20;
 
+  private static final String OUT_OF_MEMORY = "too many messages are under way";
+
   private final MessageDecoder decoder;
   private final ArrivalTimes arrivals = new ArrivalTimes();
 
@@ -34,37 +36,86 @@
   /** The messages behind those in the decoder; null if there are none. */
   private SkippedMessages skippedMessages;
 
-  ClientInput(MemoryBudget budget) {
+  private final InputMemory memory;
+  private boolean started;
+
+  /** When the first byte of the incomplete message arrived. */
+  private Moment messageBegunAt = Moment.LONG_AGO;
+
+  /** The messages could not be split when memory was released; reported with the next input. */
+  private ProtocolException splitFault;
+
+  ClientInput(MemoryBudget budget, InputMemory memory) {
+    this.memory = memory;
     decoder = new MessageDecoder(MAX_STARTUP_MESSAGE_BYTES, budget);
   }
 
   /** Adds received bytes of the startup phase and takes ownership of their buffer. */
-  void addStartupBytes(ByteBuf bytes, Moment arrivedAt) throws ProtocolException {
+  void addStartupBytes(ByteBuf bytes, Moment arrivedAt, Moment now) throws ProtocolException {
     arrivals.recordRead(bytes.readableBytes(), arrivedAt);
+    messageBegunAt = decoder.bufferedBytes() == 0 ? now : messageBegunAt;
     decoder.add(bytes);
+    memory.onReceived(this, now);
   }
 
   /**
    * Adds received bytes and takes ownership of their buffer.
    *
+   * @param arrivedAt the earliest time at which the bytes may have arrived
    * @param busy whether a statement of the client is in progress
    * @return why the messages that follow are skipped from now on; null if they are not, or have
    *     been before
    */
-  String add(ByteBuf bytes, Moment arrivedAt, boolean busy) throws ProtocolException {
+  String add(ByteBuf bytes, Moment arrivedAt, Moment now, boolean busy) throws ProtocolException {
+    if (splitFault != null) {
+      bytes.release();
+      throw splitFault;
+    }
     if (skippedMessages != null) {
       skippedMessages.add(bytes);
       return null;
     }
     arrivals.recordRead(bytes.readableBytes(), arrivedAt);
+    messageBegunAt = decoder.bufferedBytes() == 0 ? now : messageBegunAt;
     boolean fitsBudget = decoder.addEvenIfOverBudget(bytes);
-    if (fitsBudget && !(busy && decoder.bufferedBytes() > MAX_PIPELINED_BYTES)) {
+    boolean fitsMemory = memory.onReceived(this, now);
+    if (!fitsMemory) {
+      giveWay();
+      memory.onReleased(this);
+      return OUT_OF_MEMORY;
+    }
+    if (fitsBudget && !(busy && decoder.bufferedBytes() > memory.allowance(MAX_PIPELINED_BYTES))) {
       return null;
     }
     skipFurtherMessages();
-    return fitsBudget
-        ? "more than " + MAX_PIPELINED_BYTES + " bytes were sent ahead"
-        : "too many messages are under way";
+    memory.onReleased(this);
+    return fitsBudget ? "too much was sent ahead" : OUT_OF_MEMORY;
+  }
+
+  @Override
+  public Moment messageBegunAt() {
+    return messageBegunAt;
+  }
+
+  @Override
+  public int capacityBytes() {
+    return decoder.capacityBytes();
+  }
+
+  @Override
+  public void giveWay() {
+    if (!started || skippedMessages != null) {
+      return;
+    }
+    ByteBuf all = decoder.removeAll();
+    if (all != null) {
+      try {
+        skippedMessages = new SkippedMessages(MAX_MESSAGE_BYTES);
+        skippedMessages.add(all);
+      } catch (ProtocolException fault) {
+        splitFault = fault;
+      }
+    }
   }
 
   /**
@@ -82,6 +133,7 @@
   /** The startup phase is over: messages have a type and may be longer. */
   void onStarted() {
     decoder.setMaxMessageBytes(MAX_MESSAGE_BYTES);
+    started = true;
   }
 
   /** Returns the next buffered message of the startup phase, or null. */
@@ -95,6 +147,7 @@
   }
 
   private ByteBuf recordArrival(ByteBuf message) {
+    memory.onReleased(this);
     if (message != null) {
       messageArrivedAt = arrivals.consumeMessage(message.readableBytes());
     }
@@ -134,5 +187,6 @@
   void release() {
     decoder.release();
     skippedMessages = null;
+    memory.onReleased(this);
   }
 }
--- a/router/src/main/java/basaltlever/net/ClientReceiveAllocator.java
+++ b/router/src/main/java/basaltlever/net/ClientReceiveAllocator.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelConfig;
+import java.util.function.IntSupplier;
 
 /**
  * Allocates the receive buffers of one client socket and bounds how much is read at a time. Falls
@@ -15,17 +16,16 @@
 final class ClientReceiveAllocator extends AdaptiveRecvByteBufAllocator {
   private static final int FALLBACK_BUFFER_BYTES = 512;
 
-  private final int maxBytes;
+  private final IntSupplier maxBytes;
   private int bytesRead;
   private boolean drained;
 
   /**
    * Creates an allocator.
    *
-   * @param maxBytes the first read that reaches this number of bytes is the last one of its
-   *     iteration
+   * @param maxBytes the number of bytes to read at a time, after which the next iteration goes on
    */
-  ClientReceiveAllocator(int maxBytes) {
+  ClientReceiveAllocator(IntSupplier maxBytes) {
     this.maxBytes = maxBytes;
     // A short read would end the iteration's reads, and leave an end of stream behind it unread.
     respectMaybeMoreData(false);
@@ -49,7 +49,7 @@
       @Override
       public ByteBuf allocate(ByteBufAllocator allocator) {
         try {
-          return super.allocate(allocator);
+          return allocator.ioBuffer(Math.min(guess(), maxBytes.getAsInt()));
         } catch (OutOfMemoryError outOfMemory) {
           return Unpooled.buffer(FALLBACK_BUFFER_BYTES, FALLBACK_BUFFER_BYTES);
         }
@@ -64,7 +64,7 @@
 
       @Override
       public boolean continueReading() {
-        return bytesRead < maxBytes && super.continueReading();
+        return bytesRead < maxBytes.getAsInt() && super.continueReading();
       }
     };
   }
--- a/router/src/main/java/basaltlever/net/ClientSessions.java
+++ b/router/src/main/java/basaltlever/net/ClientSessions.java
@@ -33,11 +33,14 @@
   private WorkloadSlots slots;
   private final int maxOpenStatements;
   private final MemoryBudget budget;
+  private final InputMemory inputMemory;
   private final RateLimitedLog invalidInputLog;
   private final StatementTracer trace;
   private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
   private StatementRouter<String> statementRouter;
   private AttemptExecutor executor;
+  private long countedIteration;
+  private int messagesInIteration;
   private long lastTicket;
   private long lastConnectionNumber;
   private Span retryAfter = Span.NONE;
@@ -61,6 +64,8 @@
     this.slots = slots;
     this.maxOpenStatements = maxOpenStatements;
     this.budget = budget;
+    // The other half is left for texts of statements in progress and for answers.
+    inputMemory = new InputMemory(budget.maxBytes() / 2);
     this.invalidInputLog = invalidInputLog;
     this.trace = trace;
     endedConnectionLog = new EndedConnectionLog(iteration.clock()::now);
@@ -76,6 +81,11 @@
     invalidInputLog.log(client, problem);
   }
 
+  @Override
+  public InputMemory inputMemory() {
+    return inputMemory;
+  }
+
   @Override
   public Counters counters() {
     return iteration.counters();
@@ -117,6 +127,13 @@
   @Override
   public void onMessageRead() {
     iteration.load().countMessage();
+    messagesInIteration = messagesReadInIteration() + 1;
+    countedIteration = iteration.number();
+  }
+
+  @Override
+  public int messagesReadInIteration() {
+    return countedIteration == iteration.number() ? messagesInIteration : 0;
   }
 
   @Override
--- a/router/src/main/java/basaltlever/net/ConnectionPool.java
+++ b/router/src/main/java/basaltlever/net/ConnectionPool.java
@@ -127,7 +127,7 @@
     }
     switch (descriptors.admitEndpointConnection(query.use())) {
       case OPEN -> connect(query);
-      case WAIT -> descriptors.awaitFree(() -> openIfStillNeeded(query));
+      case WAIT -> descriptors.awaitFree(() -> startIfStillNeeded(query));
       default -> {
         iteration
             .counters()
@@ -141,10 +141,10 @@
   }
 
   /**
-   * Rechecks the query: while it waited for a descriptor, it may have become obsolete or a
-   * connection may have become idle.
+   * Rechecks the query: while it waited, it may have become obsolete or a connection may have
+   * become idle.
    */
-  private void openIfStillNeeded(ServerQuery query) {
+  private void startIfStillNeeded(ServerQuery query) {
     if (query.isFinished() || query.isObsolete(now())) {
       query.fail(AttemptOutcome.NEVER_SENT, AttemptOutcome.NEVER_SENT);
     } else {
@@ -195,6 +195,9 @@
     if (query.isFinished() || query.isObsolete(now())) {
       query.fail(AttemptOutcome.NEVER_SENT, AttemptOutcome.NEVER_SENT);
       returnIdle(connection);
+    } else if (!query.isReadyToSend()) {
+      returnIdle(connection);
+      iteration.enqueue(now -> iteration.addEffect(() -> startIfStillNeeded(query)));
     } else {
       connection.send(query);
     }
--- a/router/src/main/java/basaltlever/net/IterationShare.java
+++ b/router/src/main/java/basaltlever/net/IterationShare.java
@@ -11,6 +11,8 @@
 final class IterationShare {
   static final int MAX_MESSAGES = 16;
 
+  static final int MAX_MESSAGES_OF_ALL = 32 * MAX_MESSAGES;
+
   /** The largest message exceeds this; then it is the only one of its iteration. */
   static final int MAX_MESSAGE_BYTES = 1 << 17;
 
@@ -40,9 +42,14 @@
     messageBytes += bytes;
   }
 
-  /** Returns whether no further message is to be processed in this iteration. */
-  boolean isUsedUp(Moment now) {
-    return messages >= MAX_MESSAGES
+  /**
+   * Returns whether no further message is to be processed in this iteration.
+   *
+   * @param messagesOfAll the messages of all connections in this iteration; where they are many,
+   *     each further connection gets one
+   */
+  boolean isUsedUp(Moment now, int messagesOfAll) {
+    return messages >= (messagesOfAll < MAX_MESSAGES_OF_ALL ? MAX_MESSAGES : 1)
         || messageBytes >= MAX_MESSAGE_BYTES
         || messages > 0 && now.since(startedAt).isLongerThan(MAX_TIME);
   }
--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -37,6 +37,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Promise;
@@ -104,6 +105,10 @@
    */
   private static final int RESERVED_DESCRIPTORS = 24;
 
+  /** Unwritten bytes after which the messages of a client that does not read have to wait. */
+  private static final WriteBufferWaterMark CLIENT_WRITE_LIMITS =
+      new WriteBufferWaterMark(8 * 1024, 16 * 1024);
+
   private static final int BUFFER_PAGE_BYTES = 8_192;
   private static final int BUFFER_CHUNK_ORDER = 6;
 
@@ -749,6 +754,7 @@
         .option(ChannelOption.RECVBUF_ALLOCATOR, acceptHandler.newAcceptAllocator())
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.ALLOCATOR, buffers)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WRITE_LIMITS)
         .handler(acceptHandler)
         .childHandler(
             new ChannelInitializer<Channel>() {
--- a/router/src/main/java/basaltlever/net/ServerQuery.java
+++ b/router/src/main/java/basaltlever/net/ServerQuery.java
@@ -30,6 +30,14 @@
     return false;
   }
 
+  /**
+   * Returns whether the query may be sent now. If not, it is asked again in the next iteration,
+   * until it becomes obsolete.
+   */
+  boolean isReadyToSend() {
+    return true;
+  }
+
   /** Handles the response, which this query must release. */
   abstract void onResponse(QueryResponse response);
 
--- a/router/src/main/java/basaltlever/pg/MemoryBudget.java
+++ b/router/src/main/java/basaltlever/pg/MemoryBudget.java
@@ -29,6 +29,11 @@
     reservedBytes -= bytes;
   }
 
+  /** Returns the maximum number of reserved bytes. */
+  public long maxBytes() {
+    return maxBytes;
+  }
+
   /** Returns the number of bytes that are reserved now. */
   public long reservedBytes() {
     return reservedBytes;
--- a/router/src/main/java/basaltlever/pg/MessageDecoder.java
+++ b/router/src/main/java/basaltlever/pg/MessageDecoder.java
@@ -19,6 +19,9 @@
   private static final int TYPE_BYTES = 1;
   private static final int MIN_BUFFER_CAPACITY_BYTES = 512;
 
+  /** A buffer that holds an incomplete message is at most this many times as large. */
+  private static final int MAX_CAPACITY_FACTOR = 2;
+
   private int maxMessageBytes;
   private final MemoryBudget budget;
 
@@ -80,12 +83,51 @@
    */
   private void replaceBuffer(ByteBuf received) {
     int total = buffered.readableBytes() + received.readableBytes();
-    ByteBuf larger = received.alloc().buffer(Math.max(MIN_BUFFER_CAPACITY_BYTES, 2 * total));
+    ByteBuf larger = received.alloc().buffer(Math.max(total, Math.min(2 * total, usefulBytes())));
     larger.writeBytes(buffered);
     buffered.release();
     buffered = larger;
   }
 
+  /** Moves a few bytes that are kept for longer out of a large receive buffer. */
+  private void shrink() {
+    int bytes = Math.max(MIN_BUFFER_CAPACITY_BYTES, buffered.readableBytes());
+    if (buffered.capacity() > MAX_CAPACITY_FACTOR * bytes) {
+      ByteBuf smaller = buffered.alloc().buffer(bytes);
+      smaller.writeBytes(buffered);
+      buffered.release();
+      buffered = smaller;
+      budget.release(reservedBytes - smaller.capacity());
+      reservedBytes = smaller.capacity();
+    }
+  }
+
+  /** Removes all buffered bytes, which begin with a message, and returns them; null if none. */
+  public ByteBuf removeAll() {
+    ByteBuf all = buffered;
+    if (all != null) {
+      buffered = null;
+      budget.release(reservedBytes);
+      reservedBytes = 0;
+    }
+    return all;
+  }
+
+  /** Returns the capacity of the buffer. */
+  public int capacityBytes() {
+    return reservedBytes;
+  }
+
+  /** Returns the capacity that the message at the start of the buffer needs, as far as known. */
+  private int usefulBytes() {
+    int statedLength =
+        buffered.readableBytes() < HEADER_BYTES
+            ? 0
+            : buffered.getInt(buffered.readerIndex() + TYPE_BYTES);
+    boolean valid = statedLength > 0 && statedLength <= maxMessageBytes;
+    return Math.max(MIN_BUFFER_CAPACITY_BYTES, valid ? TYPE_BYTES + statedLength : 0);
+  }
+
   /**
    * Returns the next complete message with its header, or null if there is none. The message is
    * valid until the next call of this decoder.
@@ -111,7 +153,11 @@
   private ByteBuf slice(int statedLength, int typeBytes) throws ProtocolException {
     checkLength(statedLength, maxMessageBytes);
     int messageBytes = typeBytes + statedLength;
-    return buffered.readableBytes() < messageBytes ? null : buffered.readSlice(messageBytes);
+    if (buffered.readableBytes() >= messageBytes) {
+      return buffered.readSlice(messageBytes);
+    }
+    shrink();
+    return null;
   }
 
   private static void checkLength(int statedLength, int maxMessageBytes) throws ProtocolException {
--- a/router/src/main/java/basaltlever/pg/ProtocolException.java
+++ b/router/src/main/java/basaltlever/pg/ProtocolException.java
@@ -9,7 +9,8 @@
 
   /** Creates an exception with its SQLSTATE and a message that may be sent to a client. */
   public ProtocolException(String sqlState, String message) {
-    super(message);
+    // Clients cause these at will, and filling in a stack trace costs more than handling the input.
+    super(message, null, false, false);
     this.sqlState = sqlState;
   }
 
--- a/router/src/test/java/basaltlever/net/ClientModel.java
+++ b/router/src/test/java/basaltlever/net/ClientModel.java
@@ -69,6 +69,7 @@
   private final InjectedFault injectedFault;
   private final Map<Step, Integer> stepUses = new EnumMap<>(Step.class);
   private final Counters counters = new Counters();
+  private final InputMemory inputMemory = new InputMemory(1 << 19);
   private final Descriptors descriptors = new Descriptors(64);
   private final WorkloadSlots slots = WorkloadSlots.of(List.of("view"));
   private final StatementTracer trace = new StatementTracer(null, this::now);
@@ -455,6 +456,11 @@
     return iteration;
   }
 
+  @Override
+  public InputMemory inputMemory() {
+    return inputMemory;
+  }
+
   @Override
   public Counters counters() {
     return counters;
@@ -515,6 +521,11 @@
     // Affects only the load report.
   }
 
+  @Override
+  public int messagesReadInIteration() {
+    return 0;
+  }
+
   @Override
   public void runAfterReads(Runnable step) {
     laterTasks.add(step);
