--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -246,10 +246,8 @@
    * is seen.
    */
   private boolean isInputWanted(boolean bufferDrained) {
-    return lifecycle.isBusy()
-        || deferredError != null
-        || bufferDrained && socket.isWritable()
-        || input.bufferedBytes() <= maxReadBytes() && socket.isWritable();
+    boolean fits = bufferDrained || input.bufferedBytes() <= maxReadBytes();
+    return lifecycle.isBusy() || deferredError != null || (fits && socket.isWritable());
   }
 
   /** Returns how much may be read from the socket at a time. */
--- a/router/src/main/java/basaltlever/net/IterationShare.java
+++ b/router/src/main/java/basaltlever/net/IterationShare.java
@@ -51,6 +51,6 @@
   boolean isUsedUp(Moment now, int messagesOfAll) {
     return messages >= (messagesOfAll < MAX_MESSAGES_OF_ALL ? MAX_MESSAGES : 1)
         || messageBytes >= MAX_MESSAGE_BYTES
-        || messages > 0 && now.since(startedAt).isLongerThan(MAX_TIME);
+        || (messages > 0 && now.since(startedAt).isLongerThan(MAX_TIME));
   }
 }
--- a/router/src/main/java/basaltlever/pg/StatementSyntax.java
+++ b/router/src/main/java/basaltlever/pg/StatementSyntax.java
@@ -154,7 +154,8 @@
       if (next == '$') {
         return i + 1;
       }
-      if (!isWordByte(next) || i == index + 1 && next >= '0' && next <= '9') {
+      boolean first = i == index + 1;
+      if (!isWordByte(next) || (first && isDigit(next))) {
         return -1;
       }
     }
@@ -206,17 +207,21 @@
   }
 
   static boolean isSpace(byte value) {
-    return value == ' ' || value >= '\t' && value <= '\r';
+    return value == ' ' || (value >= '\t' && value <= '\r');
   }
 
   private static boolean isWordByte(byte value) {
     return value < 0
-        || value >= 'a' && value <= 'z'
-        || value >= 'A' && value <= 'Z'
-        || value >= '0' && value <= '9'
+        || (value >= 'a' && value <= 'z')
+        || (value >= 'A' && value <= 'Z')
+        || isDigit(value)
         || value == '_';
   }
 
+  private static boolean isDigit(byte value) {
+    return value >= '0' && value <= '9';
+  }
+
   /** Returns 0 behind the end, which no text holds. */
   private byte byteAt(int at) {
     return at < end ? text.getByte(at) : 0;
--- a/router/src/test/java/basaltlever/StatementForms.java
+++ b/router/src/test/java/basaltlever/StatementForms.java
@@ -9,6 +9,9 @@
 
 /** Generates queries that the protocol allows, and input that it does not, one fault at a time. */
 public final class StatementForms {
+  private static final String FIELDS = "id=%s,c=view,d=900,cluster=1";
+  private static final String SELECT = "SELECT doc FROM items WHERE id = 'k'";
+
   /** The largest value of the protocol, in bytes. */
   private static final int MAX_VALUE_BYTES = 64 * 1024;
 
@@ -57,75 +60,112 @@
   }
 
   private static List<String> unsoundTexts(String id) {
-    String fields = "id=" + id + ",c=view,d=900,cluster=1";
+    List<String> texts = new ArrayList<>(notOneStatement(id));
+    texts.addAll(notClosed(id));
+    texts.addAll(tooLargeValues(id));
+    texts.addAll(withoutRequiredFields(id));
+    texts.addAll(malformedFields(id));
+    texts.addAll(withZeroBytes(id));
+    return texts;
+  }
+
+  /** One statement per query. */
+  private static List<String> notOneStatement(String id) {
+    String fields = FIELDS.formatted(id);
+    String head = "/* " + fields + " */ ";
+    return List.of(
+        head + SELECT + "; " + SELECT,
+        head + SELECT + ";SELECT 2;",
+        head + SELECT + "; DELETE FROM items",
+        head + "; SELECT 1; SELECT 2",
+        "SET x = 1; " + head + SELECT,
+        head,
+        head + " ; ",
+        head + "-- SELECT 1",
+        head + "/* SELECT 1 */");
+  }
+
+  /** What is opened is closed. */
+  private static List<String> notClosed(String id) {
+    String fields = FIELDS.formatted(id);
+    String head = "/* " + fields + " */ ";
+    return List.of(
+        head + SELECT + " AND doc = 'x",
+        head + SELECT + " AND \"doc = 1",
+        head + SELECT + " /* x",
+        head + SELECT + " AND doc = $$x",
+        head + SELECT + " AND doc = $t$x$$",
+        head + SELECT + " AND doc = E'x\\'",
+        "/* " + fields + " " + SELECT,
+        "/* " + fields + ",x=/* */ " + SELECT);
+  }
+
+  /** Values of at most 64 KiB. */
+  private static List<String> tooLargeValues(String id) {
+    String fields = FIELDS.formatted(id);
     String head = "/* " + fields + " */ ";
-    String select = "SELECT doc FROM items WHERE id = 'k'";
-    List<String> texts =
-        new ArrayList<>(
-            List.of(
-                // One statement per query.
-                head + select + "; " + select,
-                head + select + ";SELECT 2;",
-                head + select + "; DELETE FROM items",
-                head + "; SELECT 1; SELECT 2",
-                "SET x = 1; " + head + select,
-                head,
-                head + " ; ",
-                head + "-- SELECT 1",
-                head + "/* SELECT 1 */",
-                // What is opened is closed.
-                head + select + " AND doc = 'x",
-                head + select + " AND \"doc = 1",
-                head + select + " /* x",
-                head + select + " AND doc = $$x",
-                head + select + " AND doc = $t$x$$",
-                head + select + " AND doc = E'x\\'",
-                "/* " + fields + " " + select,
-                "/* " + fields + ",x=/* */ " + select,
-                // Values of at most 64 KiB.
-                head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES + 1) + "'",
-                head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES) + "'''",
-                head + "SELECT '\\x" + "9f".repeat(MAX_VALUE_BYTES + 1) + "'",
-                head + "SELECT '\\x" + "9".repeat(2 * MAX_VALUE_BYTES + 1) + "'",
-                head + "SELECT $$" + "v".repeat(MAX_VALUE_BYTES + 1) + "$$",
-                head + "SELECT " + "9".repeat(MAX_VALUE_BYTES + 1),
-                // The comment holds names and values.
-                select,
-                "-- " + fields + "\n" + select,
-                "/ * " + fields + " */ " + select,
-                head.replace("id=" + id, "x=1") + select,
-                head.replace("c=view", "x=1") + select,
-                head.replace("c=view", "c=") + select,
-                head.replace("c=view", "c=nowhere") + select,
-                head.replace("c=view", "c=view c=post") + select,
-                head.replace("d=900", "x=900") + select,
-                head.replace("d=900", "d=") + select,
-                head.replace("d=900", "d=-900") + select,
-                head.replace("d=900", "d=9e2") + select,
-                head.replace("d=900", "d=900,d=901") + select,
-                head.replace("d=900", "d=99999999999999999999") + select,
-                head.replace("cluster=1", "cluster=one") + select,
-                head.replace("cluster=1", "cluster=4294967297") + select,
-                head.replace("cluster=1", "cluster=1,after=x") + select,
-                head.replace("cluster=1", "cluster=1,r=x") + select,
-                head.replace("cluster=1", "cluster=1,") + select,
-                head.replace("cluster=1", "cluster=1,,k=1") + select,
-                head.replace("cluster=1", "cluster=1,k") + select,
-                head.replace("cluster=1", "cluster=1,=k") + select,
-                head.replace("cluster=1", "cluster=1,k=a b") + select,
-                head.replace("cluster=1", "cluster=1,k='a'") + select,
-                head.replace("cluster=1", "cluster=1,k=\u0001") + select,
-                head.replace("cluster=1", "cluster=1,k=é") + select,
-                "\u0001" + head + select,
-                head.replace("cluster=1", "cluster=1\u0002") + select));
-    // Zero bytes: a query is one string.
+    return List.of(
+        head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES + 1) + "'",
+        head + "SELECT '" + "v".repeat(MAX_VALUE_BYTES) + "'''",
+        head + "SELECT '\\x" + "9f".repeat(MAX_VALUE_BYTES + 1) + "'",
+        head + "SELECT '\\x" + "9".repeat(2 * MAX_VALUE_BYTES + 1) + "'",
+        head + "SELECT $$" + "v".repeat(MAX_VALUE_BYTES + 1) + "$$",
+        head + "SELECT " + "9".repeat(MAX_VALUE_BYTES + 1));
+  }
+
+  /** The comment holds names and values. */
+  private static List<String> withoutRequiredFields(String id) {
+    String fields = FIELDS.formatted(id);
+    String head = "/* " + fields + " */ ";
+    return List.of(
+        SELECT,
+        "-- " + fields + "\n" + SELECT,
+        "/ * " + fields + " */ " + SELECT,
+        head.replace("id=" + id, "x=1") + SELECT,
+        head.replace("c=view", "x=1") + SELECT,
+        head.replace("c=view", "c=") + SELECT,
+        head.replace("c=view", "c=nowhere") + SELECT,
+        head.replace("c=view", "c=view c=post") + SELECT,
+        head.replace("d=900", "x=900") + SELECT,
+        head.replace("d=900", "d=") + SELECT,
+        head.replace("d=900", "d=-900") + SELECT,
+        head.replace("d=900", "d=9e2") + SELECT,
+        head.replace("d=900", "d=900,d=901") + SELECT,
+        head.replace("d=900", "d=99999999999999999999") + SELECT);
+  }
+
+  /** The values are numbers where the protocol says so, and plain words. */
+  private static List<String> malformedFields(String id) {
+    String fields = FIELDS.formatted(id);
+    String head = "/* " + fields + " */ ";
+    return List.of(
+        head.replace("cluster=1", "cluster=one") + SELECT,
+        head.replace("cluster=1", "cluster=4294967297") + SELECT,
+        head.replace("cluster=1", "cluster=1,after=x") + SELECT,
+        head.replace("cluster=1", "cluster=1,r=x") + SELECT,
+        head.replace("cluster=1", "cluster=1,") + SELECT,
+        head.replace("cluster=1", "cluster=1,,k=1") + SELECT,
+        head.replace("cluster=1", "cluster=1,k") + SELECT,
+        head.replace("cluster=1", "cluster=1,=k") + SELECT,
+        head.replace("cluster=1", "cluster=1,k=a b") + SELECT,
+        head.replace("cluster=1", "cluster=1,k='a'") + SELECT,
+        head.replace("cluster=1", "cluster=1,k=\u0001") + SELECT,
+        head.replace("cluster=1", "cluster=1,k=é") + SELECT,
+        "\u0001" + head + SELECT,
+        head.replace("cluster=1", "cluster=1\u0002") + SELECT);
+  }
+
+  /** A query is one string. */
+  private static List<String> withZeroBytes(String id) {
+    String head = "/* " + FIELDS.formatted(id) + " */ ";
+    List<String> texts = new ArrayList<>();
     for (int at : new int[] {0, 1, 8, head.length() - 1, head.length(), head.length() + 9}) {
-      texts.add(insertZero(head + select, at));
+      texts.add(insertZero(head + SELECT, at));
     }
-    texts.add(head + select + "\0");
-    texts.add(head + select + "\0\0\0\0");
-    texts.add(head + select + "\0" + head + select);
-    texts.add(head + select + "\0; DROP TABLE items");
+    texts.add(head + SELECT + "\0");
+    texts.add(head + SELECT + "\0\0\0\0");
+    texts.add(head + SELECT + "\0" + head + SELECT);
+    texts.add(head + SELECT + "\0; DROP TABLE items");
     texts.add("\0" + "\0".repeat(40));
     return texts;
   }
