Soak: floods, halves, repeated ids and leavers; SIGKILL counts from the first SIGTERM

New: DisruptiveClients, LEAVERS, REPEATED_IDS and a crowd throughout one of four runs. FloodingClient and RouterProcesses are shared by the tests that had their own.

--- a/lab/src/main/java/basaltlever/lab/endtoend/ClientLoad.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/ClientLoad.java
@@ -20,6 +20,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -32,6 +33,12 @@
   private static final double NEW_CONNECTION_SHARE = 1 / 3.0;
   private static final double PIPELINED_PAIR_SHARE = 0.05;
   private static final int MAX_RESPONSE_BYTES = 1 << 20;
+  private static final int STATEMENTS_PER_LEAVER = 4;
+  private static final String LARGE_VALUE = " AND doc = '\\x" + "f".repeat(130_000) + "'";
+  private static final int MAX_RECENT_STATEMENTS = 30;
+
+  /** A repeated statement must not be taken for an attempt that was still under way. */
+  private static final long MIN_AGE_OF_REPEATED_MILLIS = 300;
 
   /** Time that a client waits beyond its deadline before the statement counts as unanswered. */
   private static final long RESPONSE_GRACE_MILLIS = 700;
@@ -46,6 +53,7 @@
   private final SplittableRandom random;
   private final EventLoopLagMonitor lagMonitor;
   private final ArrayDeque<Connection> idleConnections = new ArrayDeque<>();
+  private final ArrayDeque<TrackedStatement> recentStatements = new ArrayDeque<>();
   private boolean stopped;
   private boolean reuseConnectionsOnly;
   private int closeDelayMillis;
@@ -106,6 +114,31 @@
     }
   }
 
+  /**
+   * Sends large statements on some new connections at once, and closes each over what the router
+   * has not read.
+   */
+  void leaveOverUnreadStatements(int clients) {
+    for (int i = 0; i < clients; i++) {
+      Connection connection = new Connection(false, true);
+      for (int statement = 0; statement < STATEMENTS_PER_LEAVER; statement++) {
+        connection.send(newStatement(), LARGE_VALUE);
+      }
+      connection.leaveOnceWritten();
+    }
+  }
+
+  /** Returns the texts of recent statements that have ended after a server had received them. */
+  List<String> endedStatementTexts() {
+    long latestEnd = clock.nowMillis() - MIN_AGE_OF_REPEATED_MILLIS;
+    return recentStatements.stream()
+        .filter(statement -> statement.outcome != null && statement.attempts > 0)
+        .filter(statement -> statement.outcome != Outcome.REFUSED)
+        .filter(statement -> statement.endedAtMillis < latestEnd)
+        .map(this::queryText)
+        .toList();
+  }
+
   /** Continues the statement ids and open statements of the load on the replaced router process. */
   void continueFrom(ClientLoad previous) {
     sequence = previous.sequence;
@@ -160,7 +193,12 @@
     StatementClass workload = settings.pickClass(random);
     String id = "r" + routerIndex + "x" + ++sequence;
     openStatements++;
-    return checker.recordStart(id, workload, routerIndex, clock.nowMillis());
+    TrackedStatement statement = checker.recordStart(id, workload, routerIndex, clock.nowMillis());
+    recentStatements.addLast(statement);
+    if (recentStatements.size() > MAX_RECENT_STATEMENTS) {
+      recentStatements.removeFirst();
+    }
+    return statement;
   }
 
   private String queryText(TrackedStatement statement) {
@@ -199,6 +237,7 @@
     private boolean startupComplete;
     private boolean hasReceivedResponse;
     private boolean closed;
+    private boolean leavesOnceWritten;
     private Outcome pendingOutcome;
 
     /**
@@ -236,8 +275,17 @@
     }
 
     void send(TrackedStatement statement) {
+      send(statement, "");
+    }
+
+    /** Disconnects as soon as the system has taken all that was sent. */
+    void leaveOnceWritten() {
+      leavesOnceWritten = true;
+    }
+
+    private void send(TrackedStatement statement, String condition) {
       pending.add(statement);
-      String query = queryText(statement);
+      String query = queryText(statement) + condition;
       if (channel.isActive()) {
         ByteBuf out = channel.alloc().buffer();
         MessageEncoder.writeQuery(out, query);
@@ -313,7 +361,10 @@
       while (!unsentQueries.isEmpty()) {
         MessageEncoder.writeQuery(out, unsentQueries.poll());
       }
-      context.writeAndFlush(out);
+      ChannelFuture written = context.writeAndFlush(out);
+      if (leavesOnceWritten) {
+        written.addListener(future -> disconnect());
+      }
       if (!pending.isEmpty()) {
         startResponseTimer(pending.peek());
       }
--- a/lab/src/main/java/basaltlever/lab/endtoend/SoakRun.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/SoakRun.java
@@ -40,7 +40,11 @@
     CROWD,
     WHOLE_LISTS,
     BURST,
-    HELD_UP
+    HELD_UP,
+    FLOOD,
+    HALF_STATEMENTS,
+    REPEATED_IDS,
+    LEAVERS
   }
 
   /**
@@ -56,6 +60,12 @@
   private static final long MIN_PAUSE_MILLIS = 200;
   private static final long MAX_PAUSE_MILLIS = 1_500;
   private static final int IDLE_RAMP_MILLIS = 200;
+  private static final int MAX_FLOODS = 8;
+  private static final int MAX_LEAVERS = 20;
+
+  /** In one of this many runs, idle clients crowd a router throughout. */
+  private static final int RUNS_PER_CROWDED_RUN = 4;
+
   private static final int MILLION = 1_000_000;
 
   private final MultiThreadIoEventLoopGroup group =
@@ -162,6 +172,11 @@
       loads.add(newLoad(r));
     }
     loop.submit(() -> loads.forEach(ClientLoad::start)).sync();
+    if (random.nextInt(RUNS_PER_CROWDED_RUN) == 0) {
+      IdleClients crowd = new IdleClients(idleLoop, routers.get(0).address());
+      idleLoop.submit(() -> crowd.rampUp(options.sockets(), IDLE_RAMP_MILLIS)).sync();
+      faultCounts.merge(Fault.CROWD, 1, Integer::sum);
+    }
     long endNanos = System.nanoTime() + (long) (seconds * 1e9);
     while (System.nanoTime() < endNanos) {
       Thread.sleep(MIN_PAUSE_MILLIS + random.nextLong(MAX_PAUSE_MILLIS - MIN_PAUSE_MILLIS));
@@ -259,11 +274,44 @@
         loop.submit(() -> loads.get(r).scheduleBurst(statements, withinMillis)).sync();
       }
       case HELD_UP -> pauseRepeatedly(router);
+      case FLOOD -> flood(router);
+      case HALF_STATEMENTS -> stopHalfWay(router);
+      case REPEATED_IDS -> loop.submit(() -> repeatStatements(r)).sync();
+      case LEAVERS -> {
+        int leavers = 1 + random.nextInt(MAX_LEAVERS);
+        loop.submit(() -> loads.get(r).leaveOverUnreadStatements(leavers)).sync();
+      }
       default -> loop.submit(() -> discovery.repeatFullList(1 + random.nextInt(3))).sync();
     }
     return true;
   }
 
+  /** Floods a router from some connections for a limited time. */
+  private void flood(RouterUnderTest router) throws Exception {
+    DisruptiveClients clients = new DisruptiveClients(idleLoop, router.address(), random.split());
+    DisruptiveClients.Flood kind =
+        DisruptiveClients.Flood.values()[random.nextInt(DisruptiveClients.Flood.values().length)];
+    int connections = 1 + random.nextInt(MAX_FLOODS);
+    StatementClass workload = settings.pickClass(random);
+    idleLoop.submit(() -> clients.flood(connections, kind, workload)).sync();
+    idleLoop.schedule(clients::close, 500 + random.nextInt(3_000), TimeUnit.MILLISECONDS);
+  }
+
+  private void stopHalfWay(RouterUnderTest router) throws Exception {
+    DisruptiveClients clients = new DisruptiveClients(idleLoop, router.address(), random.split());
+    int connections = 1 + random.nextInt(options.sockets() / 2);
+    StatementClass workload = settings.pickClass(random);
+    idleLoop.submit(() -> clients.stopHalfWay(connections, workload)).sync();
+    idleLoop.schedule(clients::close, 3_000 + random.nextInt(2_000), TimeUnit.MILLISECONDS);
+  }
+
+  /** Sends statements again that have ended and that a server has received. */
+  private void repeatStatements(int router) {
+    DisruptiveClients clients =
+        new DisruptiveClients(loop, routers.get(router).address(), random.split());
+    loads.get(router).endedStatementTexts().forEach(clients::repeat);
+  }
+
   /** Makes some network calls fail, or transfer less than requested, for a limited time. */
   private void failSystemCalls(RouterUnderTest router) {
     FaultShim.Call[] network = {
@@ -363,12 +411,16 @@
   private void terminateAndRestart(int r) throws Exception {
     RouterUnderTest router = routers.get(r);
     ClientLoad load = loads.get(r);
-    for (int i = random.nextInt(3); i > 0; i--) {
-      router.sendSignal(random.nextBoolean() ? "HUP" : "TERM");
+    long termSentNanos = Long.MAX_VALUE;
+    for (int i = random.nextInt(4); i > 0; i--) {
+      boolean terminates = random.nextBoolean();
+      router.sendSignal(terminates ? "TERM" : "HUP");
+      termSentNanos = terminates ? Math.min(termSentNanos, System.nanoTime()) : termSentNanos;
       Thread.sleep(random.nextInt(30));
     }
     router.sendSignal("TERM");
-    long termSentNanos = System.nanoTime();
+    // The process may be killed so long after its first signal.
+    termSentNanos = Math.min(termSentNanos, System.nanoTime());
     Thread.sleep(random.nextLong(MAX_CONNECTING_AFTER_TERM_MILLIS));
     loop.submit(() -> load.setReuseConnectionsOnly(true)).sync();
     if (random.nextBoolean()) {
--- a/router/src/test/java/basaltlever/FloodedRouterTest.java
+++ b/router/src/test/java/basaltlever/FloodedRouterTest.java
@@ -5,10 +5,6 @@
 
 import basaltlever.LoopbackCluster.Client;
 import basaltlever.LoopbackCluster.ResponseMode;
-import basaltlever.pg.MessageEncoder;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,62 +30,16 @@
   /** An answer later than this after its deadline counts as lost. */
   private static final int LOST_AFTER_MILLIS = 500;
 
-  private static final int STATEMENTS_PER_WRITE = 64;
   private static final int FLOOD_BEFORE_CALLS_MILLIS = 300;
   private static final int ROUNDS = 3;
   private static final int PAUSE_MILLIS = 400;
 
-  /** One client that writes as fast as the router reads, and reads the answers. */
-  private static final class Flood implements AutoCloseable {
-    private final Client client;
-    private final Thread writer;
-    private final Thread reader;
-
-    Flood(int port, int number, IntFunction<String> text) throws IOException {
-      client = new Client(port).sendStartup();
-      writer = new Thread(() -> write(number, text), "flood-writer");
-      reader = new Thread(this::read, "flood-reader");
-      writer.start();
-      reader.start();
-    }
-
-    private void write(int number, IntFunction<String> text) {
-      try {
-        for (int sent = 0; ; sent += STATEMENTS_PER_WRITE) {
-          ByteBuf out = Unpooled.buffer();
-          for (int i = 0; i < STATEMENTS_PER_WRITE; i++) {
-            MessageEncoder.writeQuery(out, text.apply(number * 10_000_000 + sent + i));
-          }
-          client.sendBytes(ByteBufUtil.getBytes(out));
-        }
-      } catch (IOException closed) {
-        // The test has closed the connection, or the router has.
-      }
-    }
-
-    private void read() {
-      try {
-        byte[] received = new byte[1 << 16];
-        while (client.socket.getInputStream().read(received) >= 0) {
-          Thread.onSpinWait();
-        }
-      } catch (IOException closed) {
-        // The test has closed the connection, or the router has.
-      }
-    }
-
-    @Override
-    public void close() throws IOException {
-      client.close();
-    }
-  }
-
   private static void checkCallersWait(IntFunction<String> floodText) throws Exception {
     try (LoopbackCluster cluster = new LoopbackCluster()) {
-      List<Flood> floods = new ArrayList<>();
+      List<FloodingClient> floods = new ArrayList<>();
       try {
         for (int i = 0; i < FLOODS; i++) {
-          floods.add(new Flood(cluster.port, i + 1, floodText));
+          floods.add(new FloodingClient(cluster.port, i + 1, floodText));
         }
         Thread.sleep(FLOOD_BEFORE_CALLS_MILLIS);
         for (int round = 0; round < ROUNDS; round++) {
@@ -98,7 +48,7 @@
           Thread.sleep(PAUSE_MILLIS);
         }
       } finally {
-        for (Flood flood : floods) {
+        for (FloodingClient flood : floods) {
           flood.close();
         }
       }
@@ -180,10 +130,10 @@
   void deadlinesFireBesideFloods() throws Exception {
     try (LoopbackCluster cluster = new LoopbackCluster()) {
       cluster.servers.forEach(server -> server.responseMode = ResponseMode.NO_RESPONSE);
-      List<Flood> floods = new ArrayList<>();
+      List<FloodingClient> floods = new ArrayList<>();
       try {
         for (int i = 0; i < FLOODS; i++) {
-          floods.add(new Flood(cluster.port, i + 1, n -> statement("f" + n, "view", 200)));
+          floods.add(new FloodingClient(cluster.port, i + 1, n -> statement("f" + n, "view", 200)));
         }
         Thread.sleep(FLOOD_BEFORE_CALLS_MILLIS);
         try (Client client = new Client(cluster.port)) {
@@ -197,7 +147,7 @@
               answer + " after " + waited + " ms");
         }
       } finally {
-        for (Flood flood : floods) {
+        for (FloodingClient flood : floods) {
           flood.close();
         }
       }
--- a/router/src/test/java/basaltlever/MemoryLimitTest.java
+++ b/router/src/test/java/basaltlever/MemoryLimitTest.java
@@ -34,6 +34,8 @@
   private static final int MAX_MEMORY_KB = 192 * 1024;
   private static final int CALLER_TIMEOUT_MILLIS = 900;
   private static final int ROUNDS = 2;
+  private static final int FLOODS = 9;
+  private static final int FLOOD_CALLS = 100;
 
   private final List<String> faults = Collections.synchronizedList(new ArrayList<>());
 
@@ -60,24 +62,7 @@
 
   private static Process start(LoopbackCluster cluster) throws IOException {
     cluster.writeStartFile(text -> text.replaceFirst("\"sockets\":\\d+", "\"sockets\":1024"));
-    List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
-    command.addAll(deployOptions());
-    command.addAll(
-        List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main", "serve"));
-    ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
-    builder.environment().put("GW_CONFIG", cluster.startFilePath.toString());
-    return builder.start();
-  }
-
-  private static Client connect(int port, Process process) throws Exception {
-    for (int i = 0; i < 200 && process.isAlive(); i++) {
-      try {
-        return new Client(port);
-      } catch (IOException notYet) {
-        Thread.sleep(50);
-      }
-    }
-    throw new AssertionError("the router must start to listen");
+    return RouterProcesses.start(deployOptions(), cluster.startFilePath, "serve");
   }
 
   private static long peakMemoryKb(Process process) throws IOException {
@@ -100,7 +85,7 @@
       List<Client> holders = new ArrayList<>();
       AtomicBoolean over = new AtomicBoolean();
       try {
-        connect(cluster.port, process).close();
+        RouterProcesses.connect(cluster.port, process).close();
         Thread holder = new Thread(() -> hold(cluster.port, holding, holders, over));
         holder.start();
         List<Thread> clients = new ArrayList<>();
@@ -230,4 +215,39 @@
           client.sendBytes(Arrays.copyOf(bytes, bytes.length - 1));
         });
   }
+
+  /**
+   * Guards against memory that grows while clients send at full speed under ever new names and
+   * sessions (issue 72, picture c).
+   */
+  @Example
+  void memoryStaysBoundedBesideFloodsWithEverNewNames() throws Exception {
+    try (LoopbackCluster cluster = new LoopbackCluster(false)) {
+      Process process = start(cluster);
+      List<FloodingClient> floods = new ArrayList<>();
+      try {
+        RouterProcesses.connect(cluster.port, process).close();
+        for (int i = 0; i < FLOODS; i++) {
+          String workload = List.of("view", "post", "nowhere").get(i % 3);
+          floods.add(
+              new FloodingClient(
+                  cluster.port,
+                  i + 1,
+                  n -> statement("f" + n, workload, 900).replace("'k'", "'k" + n + "'")));
+        }
+        for (int i = 0; i < FLOOD_CALLS; i++) {
+          call(cluster.port, "calm" + i);
+        }
+        check(process.isAlive(), "the process must live");
+        long peak = peakMemoryKb(process);
+        check(peak < MAX_MEMORY_KB, "peak memory " + peak + " KB");
+        check(faults.isEmpty(), faults.size() + " of " + FLOOD_CALLS + ": " + faults);
+      } finally {
+        for (FloodingClient flood : floods) {
+          flood.close();
+        }
+        process.destroyForcibly();
+      }
+    }
+  }
 }
--- a/router/src/test/java/basaltlever/ProcessTest.java
+++ b/router/src/test/java/basaltlever/ProcessTest.java
@@ -4,12 +4,10 @@
 import static basaltlever.LoopbackCluster.statement;
 
 import basaltlever.LoopbackCluster.Client;
-import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
@@ -19,25 +17,6 @@
  * else from the class path.
  */
 class ProcessTest {
-  private static Process start(Path startFile, String... arguments) throws IOException {
-    return start(List.of(), startFile, arguments);
-  }
-
-  private static Process start(List<String> flags, Path startFile, String... arguments)
-      throws IOException {
-    String jar = System.getProperty("basaltlever.jar");
-    List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
-    command.addAll(flags);
-    command.addAll(
-        jar != null
-            ? List.of("-jar", jar)
-            : List.of("-cp", System.getProperty("java.class.path"), "basaltlever.cli.Main"));
-    command.addAll(List.of(arguments));
-    ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
-    builder.environment().put("GW_CONFIG", startFile.toString());
-    return builder.start();
-  }
-
   /** Waits until the file exists and one of its lines contains the text. */
   private static void awaitLine(Path file, String text, Process process) throws Exception {
     while (process.isAlive()
@@ -47,17 +26,6 @@
     }
   }
 
-  private static Client connect(int port, Process process) throws Exception {
-    for (int i = 0; i < 200 && process.isAlive(); i++) {
-      try {
-        return new Client(port);
-      } catch (IOException notYet) {
-        Thread.sleep(50);
-      }
-    }
-    throw new AssertionError("the router must start to listen");
-  }
-
   /**
    * Guards against delays on the event loop: each generated class is loaded, verified and linked
    * there when its code runs for the first time.
@@ -67,8 +35,9 @@
     Path log = Files.createTempFile("classes", ".log");
     try (LoopbackCluster world = new LoopbackCluster(false)) {
       Process process =
-          start(List.of("-Xlog:class+load:file=" + log), world.startFilePath, "serve");
-      try (Client client = connect(world.port, process)) {
+          RouterProcesses.start(
+              List.of("-Xlog:class+load:file=" + log), world.startFilePath, "serve");
+      try (Client client = RouterProcesses.connect(world.port, process)) {
         client.sendStartup().readResponse();
         for (LoopbackCluster.ResponseMode mode :
             List.of(
@@ -110,8 +79,8 @@
   void routerServesStatementsAndExitsWithZeroOnSigterm() throws Exception {
     try (LoopbackCluster world = new LoopbackCluster(false)) {
       for (int i = 0; i < 2; i++) {
-        Process process = start(world.startFilePath, "serve");
-        try (Client client = connect(world.port, process)) {
+        Process process = RouterProcesses.start(world.startFilePath, "serve");
+        try (Client client = RouterProcesses.connect(world.port, process)) {
           check(
               client.sendStartup().sendQuery("").readResponse().isEmpty()
                   && client.readResponse().equals("I"),
@@ -133,8 +102,8 @@
   @Example
   void sighupReloadsTheStartFileWithoutInterruption() throws Exception {
     try (LoopbackCluster world = new LoopbackCluster(false)) {
-      Process process = start(world.startFilePath, "serve");
-      try (Client client = connect(world.port, process)) {
+      Process process = RouterProcesses.start(world.startFilePath, "serve");
+      try (Client client = RouterProcesses.connect(world.port, process)) {
         client.sendStartup().readResponse();
         check(
             client.sendQuery(statement("b1", "view", 1_800)).readResponse().equals("row:b1"),
@@ -165,11 +134,12 @@
     Path log = folder.resolve("classes.log");
     try (LoopbackCluster world = new LoopbackCluster(false)) {
       Process process =
-          start(List.of("-Xlog:class+load:file=" + log), world.startFilePath, "serve");
+          RouterProcesses.start(
+              List.of("-Xlog:class+load:file=" + log), world.startFilePath, "serve");
       try {
         awaitLine(log, "basaltlever.net.Router ", process);
         sendSignals(process, "HUP");
-        try (Client client = connect(world.port, process)) {
+        try (Client client = RouterProcesses.connect(world.port, process)) {
           client.sendStartup().readResponse();
           check(
               client.sendQuery(statement("e1", "view", 1_800)).readResponse().equals("row:e1"),
@@ -200,7 +170,7 @@
                 .redirectError(log.toFile());
         builder.environment().put("GW_CONFIG", world.startFilePath.toString());
         Process process = builder.start();
-        try (Client client = connect(world.port, process)) {
+        try (Client client = RouterProcesses.connect(world.port, process)) {
           client.sendStartup().readResponse();
           boolean logged = Files.readString(log).contains("event=signal_ignored signal=HUP");
           check(
@@ -227,8 +197,8 @@
   @Example
   void sigtermDuringReloadAnswersOpenStatementsAndExitsWithZero() throws Exception {
     try (LoopbackCluster world = new LoopbackCluster(false)) {
-      Process process = start(world.startFilePath, "serve");
-      try (Client client = connect(world.port, process)) {
+      Process process = RouterProcesses.start(world.startFilePath, "serve");
+      try (Client client = RouterProcesses.connect(world.port, process)) {
         client.sendStartup().readResponse();
         check(
             client.sendQuery(statement("c1", "view", 1_800)).readResponse().equals("row:c1"),
@@ -262,7 +232,7 @@
               text.replaceAll(
                   "\"discovery\":\"[^\"]*\"",
                   "\"discovery\":\"127.0.0.1:" + unresponsive.getLocalPort() + "\""));
-      Process process = start(world.startFilePath, "serve");
+      Process process = RouterProcesses.start(world.startFilePath, "serve");
       try (Socket discoveryRequest = unresponsive.accept()) {
         // The router now waits for its first list and accepts no clients yet.
         long signalledAt = System.nanoTime();
@@ -281,7 +251,7 @@
   void invalidCommandLineExitsWithStatusTwo() throws Exception {
     for (String[] arguments :
         new String[][] {{}, {"nonsense"}, {"serve"}, {"check"}, {"version", "x"}}) {
-      Process process = start(Path.of("target/nowhere"), arguments);
+      Process process = RouterProcesses.start(Path.of("target/nowhere"), arguments);
       check(
           process.waitFor(20, TimeUnit.SECONDS) && process.exitValue() == 2,
           List.of(arguments) + " exits with 2");
