Waiting statements are rejected when the router stops; other names take any value

By reading: a statement that waits for its client's input is in nobody's list when the router answers all open ones, so it would have ended without an answer. It is rejected in the same batch now; no test shows it.

--- a/router/src/main/java/basaltlever/net/ClientSessions.java
+++ b/router/src/main/java/basaltlever/net/ClientSessions.java
@@ -213,7 +213,11 @@
     if (!client.isWaitingFor(pendingStatement)) {
       return;
     }
-    if (client.isInputRead()) {
+    if (refusingAll) {
+      // All open statements are answered now, and nobody would answer one that waits.
+      executor.rejectUnstarted(
+          pendingStatement, Counter.REFUSED_SHUTDOWN, "this router ends, and nothing was done");
+    } else if (client.isInputRead()) {
       start(now, pendingStatement, workload, fits);
     } else if (now.isBefore(latestStart)) {
       iteration.enqueue(
--- a/router/src/main/java/basaltlever/pg/Query.java
+++ b/router/src/main/java/basaltlever/pg/Query.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -22,6 +23,11 @@
   private static final String GROUP_KEY = "cluster";
   private static final String COMMIT_KEY = "after";
   private static final String RETRY_KEY = "r";
+  private static final Set<String> KNOWN_KEYS =
+      Set.of(ID_KEY, WORKLOAD_KEY, TIMEOUT_KEY, GROUP_KEY, COMMIT_KEY, RETRY_KEY);
+
+  private static final String NOT_IN_WORDS = " \"'\\";
+  private static final char DELETE = 0x7f;
 
   private static final long MAX_TIMEOUT_MILLIS = 24 * 60 * 60 * 1_000;
 
@@ -166,17 +172,22 @@
     return comment.substring(start, end);
   }
 
+  /** The protocol says what its own names stand for; of others, any text may be the value. */
   private static void checkField(String key, String value) throws ProtocolException {
-    if (key.isEmpty() || !isPlain(key) || !isPlain(value)) {
+    String excluded = KNOWN_KEYS.contains(key) ? NOT_IN_WORDS : "";
+    if (key.isEmpty()
+        || !isPrintable(key, NOT_IN_WORDS)
+        || !isPrintable(value, excluded)
+        || value.contains(COMMENT_OPEN)) {
       throw ProtocolException.violation("the comment holds a malformed name or value");
     }
   }
 
-  /** Returns whether all characters are printable ASCII, without spaces, quotes and comments. */
-  private static boolean isPlain(String text) {
+  /** Returns whether the text holds no control characters and none of the given ones. */
+  private static boolean isPrintable(String text, String excluded) {
     for (int i = 0; i < text.length(); i++) {
       char character = text.charAt(i);
-      if (character <= ' ' || character > '~' || "'\"\\*".indexOf(character) >= 0) {
+      if (character < ' ' || character == DELETE || excluded.indexOf(character) >= 0) {
         return false;
       }
     }
