A connection's input does not give way while one of its messages is in use

By reading: processing a message may evict another client, which reads that client's socket, which may make others give way: the buffer of the message in hand would have been released. InputMemoryTest.inputWhoseMessageIsInUseDoesNotGiveWay shows it; the class also tests who gives way first.

--- a/router/src/main/java/basaltlever/net/ClientConnection.java
+++ b/router/src/main/java/basaltlever/net/ClientConnection.java
@@ -279,6 +279,7 @@
       } else {
         handleMessage(message);
       }
+      input.onMessageProcessed();
     }
     return true;
   }
--- a/router/src/main/java/basaltlever/net/ClientInput.java
+++ b/router/src/main/java/basaltlever/net/ClientInput.java
@@ -39,6 +39,9 @@
   private final InputMemory memory;
   private boolean started;
 
+  /** Whether a message that was returned, and is part of the buffer, is being processed. */
+  private boolean messageInUse;
+
   /** When the first byte of the incomplete message arrived. */
   private Moment messageBegunAt = Moment.LONG_AGO;
 
@@ -104,7 +107,7 @@
 
   @Override
   public void giveWay() {
-    if (!started || skippedMessages != null) {
+    if (!started || messageInUse || skippedMessages != null) {
       return;
     }
     ByteBuf all = decoder.removeAll();
@@ -147,6 +150,7 @@
   }
 
   private ByteBuf recordArrival(ByteBuf message) {
+    messageInUse = message != null;
     memory.onReleased(this);
     if (message != null) {
       messageArrivedAt = arrivals.consumeMessage(message.readableBytes());
@@ -154,6 +158,11 @@
     return message;
   }
 
+  /** The last message that was returned is processed; its buffer may be released. */
+  void onMessageProcessed() {
+    messageInUse = false;
+  }
+
   /** Returns when the last byte of the last buffered message that was taken arrived. */
   Moment messageArrivedAt() {
     return messageArrivedAt;
