--- a/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
+++ b/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
@@ -25,11 +25,17 @@
   private final DecisionContext context;
   private final ServiceTimes serviceTimes;
   private final EndpointHealth health;
+  private final ReplicaFreshness freshness;
 
-  AttemptPolicy(DecisionContext context, ServiceTimes serviceTimes, EndpointHealth health) {
+  AttemptPolicy(
+      DecisionContext context,
+      ServiceTimes serviceTimes,
+      EndpointHealth health,
+      ReplicaFreshness freshness) {
     this.context = context;
     this.serviceTimes = serviceTimes;
     this.health = health;
+    this.freshness = freshness;
   }
 
   /**
@@ -154,15 +160,17 @@
    */
   Moment sendDeadline(Statement statement, Endpoint endpoint) {
     Workload workload = statement.workload();
-    boolean reliesOnProof =
-        workload.consistency() == Workload.ReadConsistency.BOUNDED
-            && !context.settings().replication().replicasCheckFreshness()
-            && endpoint != statement.group().primary();
-    if (reliesOnProof) {
+    if (reliesOnProvenPosition(statement, endpoint)) {
       return endpoint.replication().provenPosition().plus(workload.maxStaleness());
     }
     return isRepeatableWrite(workload)
         ? statement.earliestPossibleExecution().plus(workload.deduplicationWindow())
         : Moment.NEVER;
   }
+
+  private boolean reliesOnProvenPosition(Statement statement, Endpoint endpoint) {
+    return statement.workload().consistency().isBounded()
+        && !freshness.isCheckedByReplicas(statement)
+        && endpoint != statement.group().primary();
+  }
 }
--- a/router/src/main/java/basaltlever/balancer/PollScheduler.java
+++ b/router/src/main/java/basaltlever/balancer/PollScheduler.java
@@ -3,7 +3,6 @@
 import basaltlever.endpoints.PollSchedule;
 import basaltlever.gateway.EndpointLifecycle;
 import basaltlever.gateway.Workload;
-import basaltlever.gateway.Workload.ReadConsistency;
 import basaltlever.model.Endpoint;
 import basaltlever.model.PollState;
 import basaltlever.model.ReplicaGroup;
@@ -23,6 +22,12 @@
   /** Interval between polls while the primary is unknown or a switchover is in progress. */
   static final Span HOLD_INTERVAL = Span.ofMillis(200);
 
+  /** Where replicas check the freshness of reads, polls only guide the choice of a replica. */
+  private static final double CHECKED_INTERVAL_SHARE = 0.5;
+
+  /** Where they do not, a bounded read needs a report from within its bound. */
+  private static final double PROVEN_INTERVAL_SHARE = 0.25;
+
   private static final double MIN_POLLS_PER_SECOND = 1e-3;
   private static final int MAX_BACKOFF_DOUBLINGS = 7;
 
@@ -46,19 +51,22 @@
     applySettings();
   }
 
-  /** Derives the interval from the tightest staleness bound of all workloads. */
+  /** Derives the interval from the staleness bounds of all workloads. */
   void applySettings() {
-    Span tightestBound = Timing.ONE_SECOND.times(4);
+    Span shortest = Timing.ONE_SECOND;
     for (Workload workload : context.settings().workloads()) {
-      if (workload.consistency() == ReadConsistency.BOUNDED) {
-        tightestBound = tightestBound.shorter(workload.maxStaleness());
+      if (workload.consistency().isBounded()) {
+        shortest = shortest.shorter(workload.maxStaleness().times(intervalShare(workload)));
       }
     }
-    freshnessInterval =
-        tightestBound
-            .times(context.settings().replication().replicasCheckFreshness() ? 0.5 : 0.25)
-            .longer(MIN_INTERVAL)
-            .shorter(Timing.ONE_SECOND);
+    freshnessInterval = shortest.longer(MIN_INTERVAL);
+  }
+
+  /** The interval between polls as a share of the staleness bound that they are to prove. */
+  private double intervalShare(Workload workload) {
+    boolean checked =
+        context.settings().replication().replicasCheckFreshness() && workload.checkedByReplicas();
+    return checked ? CHECKED_INTERVAL_SHARE : PROVEN_INTERVAL_SHARE;
   }
 
   /** Returns when the next poll is due or times out. */
--- a/router/src/main/java/basaltlever/balancer/ReplicaFreshness.java
+++ b/router/src/main/java/basaltlever/balancer/ReplicaFreshness.java
@@ -28,14 +28,27 @@
 
   /** Returns the minimum position of the data that a statement may read. */
   Moment requiredPosition(Workload workload, long session, Moment committedPosition) {
-    return switch (workload.consistency()) {
-      case FRESH -> context.now();
-      case SESSION ->
-          context.settings().replication().sessionsCarryTokens()
-              ? committedPosition
-              : sessions.lastWrite(session);
-      default -> Moment.LONG_AGO;
-    };
+    if (workload.consistency() == ReadConsistency.FRESH) {
+      return context.now();
+    }
+    if (!workload.consistency().includesSessionWrites()) {
+      return Moment.LONG_AGO;
+    }
+    return context.settings().replication().sessionsCarryTokens()
+        ? committedPosition
+        : sessions.lastWrite(session);
+  }
+
+  /**
+   * Whether a replica refuses the statement if it is too far behind for it. It checks by what it
+   * knows of the workload, so the statement must require what the present settings require.
+   */
+  boolean isCheckedByReplicas(Statement statement) {
+    Workload current = context.settings().workloads()[statement.workloadIndex()];
+    return context.settings().replication().replicasCheckFreshness()
+        && statement.workload().checkedByReplicas()
+        && current.checkedByReplicas()
+        && current.requiresSameFreshnessAs(statement.workload());
   }
 
   boolean isValid(Moment position) {
--- a/router/src/main/java/basaltlever/balancer/ReplicaSelector.java
+++ b/router/src/main/java/basaltlever/balancer/ReplicaSelector.java
@@ -125,7 +125,7 @@
       this.longReadReplica = longReadReplica;
       this.allowedLag = statement.allowedLag(context.now());
       this.replicasCheck =
-          context.settings().replication().replicasCheckFreshness()
+          freshness.isCheckedByReplicas(statement)
               && statement.staleResponses() < MAX_STALE_ANSWERS;
     }
 
--- a/router/src/main/java/basaltlever/balancer/StatementModules.java
+++ b/router/src/main/java/basaltlever/balancer/StatementModules.java
@@ -11,7 +11,8 @@
 
   StatementModules(EndpointModules endpoints, HoldBudget holdBudget) {
     DecisionContext context = endpoints.context;
-    AttemptPolicy attempts = new AttemptPolicy(context, endpoints.serviceTimes, endpoints.health);
+    AttemptPolicy attempts =
+        new AttemptPolicy(context, endpoints.serviceTimes, endpoints.health, endpoints.freshness);
     WaitEstimator waits = new WaitEstimator(endpoints);
     AdmissionControl admission =
         new AdmissionControl(context, endpoints.serviceTimes, attempts, waits);
--- a/router/src/main/java/basaltlever/gateway/Workload.java
+++ b/router/src/main/java/basaltlever/gateway/Workload.java
@@ -14,6 +14,9 @@
  * @param timeout the time that clients wait
  * @param priorityWeight the priority weight
  * @param lateResponseValue the value of a late response, as a share of the value of one in time
+ * @param checkedByReplicas whether replicas that check the freshness of reads check the one that is
+ *     required here; they know the workload by its name alone and are not told what a router
+ *     requires
  */
 public record Workload(
     ReadConsistency consistency,
@@ -24,7 +27,8 @@
     Span latencyObjective,
     Span timeout,
     double priorityWeight,
-    double lateResponseValue) {
+    double lateResponseValue,
+    boolean checkedByReplicas) {
 
   /** The required freshness of the data. */
   public enum ReadConsistency {
@@ -32,7 +36,20 @@
     FRESH,
     SESSION,
     BOUNDED,
-    ANY
+    ANY,
+
+    /** Both SESSION and BOUNDED. No start file states it; it results from two versions. */
+    SESSION_AND_BOUNDED;
+
+    /** Returns whether the data must include all earlier writes of the session. */
+    public boolean includesSessionWrites() {
+      return this == SESSION || this == SESSION_AND_BOUNDED;
+    }
+
+    /** Returns whether the staleness of the data is bounded. */
+    public boolean isBounded() {
+      return this == BOUNDED || this == SESSION_AND_BOUNDED;
+    }
   }
 
   /** Whether a statement may be executed more than once. */
@@ -49,6 +66,36 @@
     GROUP
   }
 
+  /** Creates a workload whose freshness replicas check as it is required here. */
+  public Workload(
+      ReadConsistency consistency,
+      Span maxStaleness,
+      Idempotency idempotency,
+      DeduplicationScope deduplicationScope,
+      Span deduplicationWindow,
+      Span latencyObjective,
+      Span timeout,
+      double priorityWeight,
+      double lateResponseValue) {
+    this(
+        consistency,
+        maxStaleness,
+        idempotency,
+        deduplicationScope,
+        deduplicationWindow,
+        latencyObjective,
+        timeout,
+        priorityWeight,
+        lateResponseValue,
+        true);
+  }
+
+  /** Returns whether both require the same freshness of the data. */
+  public boolean requiresSameFreshnessAs(Workload other) {
+    return consistency == other.consistency
+        && (!consistency.isBounded() || maxStaleness.equals(other.maxStaleness));
+  }
+
   /** Returns whether only the primary can execute its statements. */
   public boolean requiresPrimary() {
     return consistency == ReadConsistency.WRITE || consistency == ReadConsistency.FRESH;
--- a/router/src/main/java/basaltlever/model/Statement.java
+++ b/router/src/main/java/basaltlever/model/Statement.java
@@ -210,9 +210,10 @@
 
   /** Returns the maximum lag of a replica to which the statement is sent at the given time. */
   public Span allowedLag(Moment at) {
-    return workload().consistency() == Workload.ReadConsistency.BOUNDED
-        ? workload().maxStaleness()
-        : at.since(arrival.requiredPosition());
+    Span sinceRequiredPosition = at.since(arrival.requiredPosition());
+    return workload().consistency().isBounded()
+        ? workload().maxStaleness().shorter(sinceRequiredPosition)
+        : sinceRequiredPosition;
   }
 
   /** Records a response that the endpoint's data is too old or that the endpoint is not primary. */
--- a/router/src/main/java/basaltlever/model/StatementArrival.java
+++ b/router/src/main/java/basaltlever/model/StatementArrival.java
@@ -12,8 +12,8 @@
  * @param session the client's session; 0 if there is none
  * @param receivedAt the arrival time
  * @param clientDeadline the time until which the client waits
- * @param requiredPosition the position that the data read must include; with bounded staleness the
- *     required position moves with the clock instead
+ * @param requiredPosition the position that the data read must include on arrival; a staleness
+ *     bound is not part of it, since that position moves with the clock
  * @param textBytes the size of its text in bytes, as far as the text is stored
  */
 public record StatementArrival(
--- a/router/src/main/java/basaltlever/settings/StricterSettings.java
+++ b/router/src/main/java/basaltlever/settings/StricterSettings.java
@@ -22,10 +22,6 @@
  * that only concern a router's own choices the newer value is used.
  */
 public final class StricterSettings {
-  private static final ReadConsistency[] FROM_STRICTEST = {
-    ReadConsistency.FRESH, ReadConsistency.SESSION, ReadConsistency.BOUNDED, ReadConsistency.ANY
-  };
-
   private StricterSettings() {}
 
   /**
@@ -131,7 +127,18 @@
         newer.latencyObjective(),
         newer.timeout(),
         newer.priorityWeight(),
-        newer.lateResponseValue());
+        newer.lateResponseValue(),
+        isCheckedForBoth(older, newer));
+  }
+
+  /**
+   * Replicas check by one of both versions, and nothing tells which; only where both require the
+   * same are they sure to check it.
+   */
+  private static boolean isCheckedForBoth(Workload older, Workload newer) {
+    return older.checkedByReplicas()
+        && newer.checkedByReplicas()
+        && older.requiresSameFreshnessAs(newer);
   }
 
   private static ReadConsistency stricterConsistency(
@@ -139,28 +146,28 @@
     if (newer.consistency() == ReadConsistency.WRITE) {
       return ReadConsistency.WRITE;
     }
-    ReadConsistency strictest = strictestOf(older.consistency(), newer.consistency());
-    // The two versions expect a session's last commit position in different places, so only the
-    // primary is sure to have that commit.
-    return strictest == ReadConsistency.SESSION && !sameTokens ? ReadConsistency.FRESH : strictest;
-  }
-
-  private static ReadConsistency strictestOf(ReadConsistency one, ReadConsistency other) {
-    for (ReadConsistency consistency : FROM_STRICTEST) {
-      if (one == consistency || other == consistency) {
-        return consistency;
-      }
+    boolean includesSessionWrites =
+        older.consistency().includesSessionWrites() || newer.consistency().includesSessionWrites();
+    // Versions that expect a session's last commit position in different places leave only the
+    // primary sure to have that commit.
+    if (older.consistency() == ReadConsistency.FRESH
+        || newer.consistency() == ReadConsistency.FRESH
+        || (includesSessionWrites && !sameTokens)) {
+      return ReadConsistency.FRESH;
+    }
+    // Neither of session and bounded reads is the stricter: each requirement is kept by itself.
+    boolean isBounded = older.consistency().isBounded() || newer.consistency().isBounded();
+    if (includesSessionWrites) {
+      return isBounded ? ReadConsistency.SESSION_AND_BOUNDED : ReadConsistency.SESSION;
     }
-    return ReadConsistency.WRITE;
+    return isBounded ? ReadConsistency.BOUNDED : ReadConsistency.ANY;
   }
 
   private static Span stricterStaleness(Workload older, Workload newer) {
-    if (older.consistency() != ReadConsistency.BOUNDED) {
-      return newer.maxStaleness();
+    if (older.consistency().isBounded() && newer.consistency().isBounded()) {
+      return older.maxStaleness().shorter(newer.maxStaleness());
     }
-    return newer.consistency() == ReadConsistency.BOUNDED
-        ? older.maxStaleness().shorter(newer.maxStaleness())
-        : older.maxStaleness();
+    return older.consistency().isBounded() ? older.maxStaleness() : newer.maxStaleness();
   }
 
   private static Idempotency stricterIdempotency(Workload older, Workload newer) {
