Session writes are remembered whatever the settings in force (versions withdrawn, reloads)

What callers would see: with SessionMarks remembered in force, a version with carried marks is prepared and withdrawn, or a router loses its lease meanwhile: writes of that time were not remembered, so later session reads could miss them.

Cause: ReplicaFreshness remembered a write only where the settings of that moment read marks from memory.

Change: each write is remembered; only the reading depends on the settings.

Evidence: PreparedVersionTest.writesAreRememberedWhileAVersionWithCarriedPositionsIsPrepared was red before (a replica without the write was used), green now.

--- a/router/src/main/java/basaltlever/balancer/ReplicaFreshness.java
+++ b/router/src/main/java/basaltlever/balancer/ReplicaFreshness.java
@@ -65,7 +65,8 @@
       endpoint.replication().recordPosition(wrote ? position.minus(COMMIT_ROUNDING) : position);
       observeLag(endpoint, context.now().since(position));
     }
-    if (wrote && !context.settings().replication().sessionsCarryTokens()) {
+    // Also where statements carry the position: the next settings may need it to be remembered.
+    if (wrote) {
       sessions.recordWrite(
           statement.session(), position.isAfter(Moment.LONG_AGO) ? position : context.now());
     }
--- a/router/src/test/java/basaltlever/PreparedVersionTest.java
+++ b/router/src/test/java/basaltlever/PreparedVersionTest.java
@@ -149,6 +149,39 @@
         "where both versions require the same, replicas check it");
   }
 
+  /**
+   * A version that lets statements carry their session's commit is prepared and withdrawn: writes
+   * of that time are remembered all the same, as the version in force demands.
+   */
+  @Example
+  void writesAreRememberedWhileAVersionWithCarriedPositionsIsPrepared() {
+    Settings carried = session(LoadBalancerHarness.withDefaults().settings, false);
+    Settings remembered = withRememberedWrites(carried);
+    for (Settings prepared :
+        List.of(StricterSettings.of(remembered, carried), StricterSettings.strictest(carried))) {
+      LoadBalancerHarness router = apply(remembered, 50);
+      router.balancer.applySettings(router.now, prepared);
+      router.receiveStatement(LoadBalancerHarness.WRITE, SESSION, Moment.LONG_AGO, 1_000);
+      router.endAttempt(router.lastAttempt(), AttemptOutcome.COMPLETED, Role.PRIMARY, router.now);
+      router.balancer.applySettings(router.now, remembered);
+      read(router, 0);
+      check(
+          router.lastAttempt().endpoint() == 0,
+          "no replica without the session's write is used: " + router.attempts);
+    }
+  }
+
+  private static Settings withRememberedWrites(Settings base) {
+    return new Settings(
+        base.identity(),
+        base.workloads(),
+        new Replication(base.replication().replicasCheckFreshness(), false, false),
+        base.drainPolicy(),
+        base.slowStart(),
+        base.attemptLimits(),
+        base.poolSettings());
+  }
+
   /** A read that was taken before a reload keeps its kind, which replicas may no longer check. */
   @Example
   void readThatWaitsThroughAReloadIsNotLeftToReplicasThatCheckAnotherKind() {
