A repeat of a bounded read keeps its send deadline by the deduplication window too

What callers would see: a bounded read whose repeats servers drop for a while could be repeated on a late connection after that window, and run twice.

Cause: AttemptPolicy.sendDeadline returned the time until which the position is proven and left out the window.

Change: the earlier of both.

--- a/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
+++ b/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
@@ -58,7 +58,7 @@
     if (statement.workload().idempotency() == Idempotency.IDEMPOTENT) {
       return parallelAllowed;
     }
-    if (isRepeatableWrite(statement.workload())) {
+    if (isDeduplicatedInGroup(statement.workload())) {
       return parallelAllowed
           && context
               .now()
@@ -70,8 +70,8 @@
     return !statement.mayHaveExecuted() && statement.attemptsInFlight() == 0;
   }
 
-  /** Whether repeats of the write are dropped at every endpoint of its group. */
-  private static boolean isRepeatableWrite(Workload workload) {
+  /** Whether repeats of the statement are dropped at every endpoint of its group. */
+  private static boolean isDeduplicatedInGroup(Workload workload) {
     return workload.idempotency() == Idempotency.DEDUPLICATED
         && workload.deduplicationScope() != DeduplicationScope.ZONE;
   }
@@ -79,7 +79,7 @@
   /** Returns the timeout of an attempt; none if it may take as long as the client waits. */
   Span timeout(Statement statement, Endpoint endpoint) {
     Workload workload = statement.workload();
-    boolean repeatableWrite = isRepeatableWrite(workload);
+    boolean repeatableWrite = isDeduplicatedInGroup(workload);
     double factor = repeatableWrite ? LIKELY_LOST_WRITE_FACTOR : LIKELY_LOST_FACTOR;
     Span likelyLost =
         new Span((long) (serviceTimes.typicalMicros(statement.workloadIndex()) * factor));
@@ -160,12 +160,15 @@
    */
   Moment sendDeadline(Statement statement, Endpoint endpoint) {
     Workload workload = statement.workload();
-    if (reliesOnProvenPosition(statement, endpoint)) {
-      return endpoint.replication().provenPosition().plus(workload.maxStaleness());
-    }
-    return isRepeatableWrite(workload)
-        ? statement.earliestPossibleExecution().plus(workload.deduplicationWindow())
-        : Moment.NEVER;
+    Moment freshUntil =
+        reliesOnProvenPosition(statement, endpoint)
+            ? endpoint.replication().provenPosition().plus(workload.maxStaleness())
+            : Moment.NEVER;
+    Moment repeatableUntil =
+        isDeduplicatedInGroup(workload)
+            ? statement.earliestPossibleExecution().plus(workload.deduplicationWindow())
+            : Moment.NEVER;
+    return freshUntil.earlier(repeatableUntil);
   }
 
   private boolean reliesOnProvenPosition(Statement statement, Endpoint endpoint) {
--- a/router/src/test/java/basaltlever/PreparedVersionTest.java
+++ b/router/src/test/java/basaltlever/PreparedVersionTest.java
@@ -182,6 +182,33 @@
         base.poolSettings());
   }
 
+  /** A bounded read whose repeats are dropped for a while has two send deadlines. */
+  @Example
+  void repeatOfABoundedReadIsSentWithinItsBoundAndItsWindow() {
+    Settings settings = bounded(LoadBalancerHarness.withDefaults().settings, false);
+    Workload read = settings.workloads()[ANY];
+    settings.workloads()[ANY] =
+        new Workload(
+            read.consistency(),
+            read.maxStaleness(),
+            Idempotency.DEDUPLICATED,
+            read.deduplicationScope(),
+            ms(150),
+            read.latencyObjective(),
+            read.timeout(),
+            read.priorityWeight(),
+            read.lateResponseValue());
+    LoadBalancerHarness router = apply(settings, 50);
+    read(router, 0);
+    Moment sentAt = router.now;
+    router.advance(20);
+    router.endAttempt(router.lastAttempt(), AttemptOutcome.RESET, Role.UNKNOWN);
+    check(router.attempts.size() == 2, "the read is repeated: " + router.attempts);
+    check(
+        router.lastAttempt().sendBy().equals(sentAt.plus(ms(150))),
+        "the repeat is sent while it would be dropped: " + router.lastAttempt());
+  }
+
   /** A read that was taken before a reload keeps its kind, which replicas may no longer check. */
   @Example
   void readThatWaitsThroughAReloadIsNotLeftToReplicasThatCheckAnotherKind() {
