The first attempt of a deduplicated statement is sent within its window as well

What callers would see: a statement whose repeats servers drop for a while runs twice, if its first attempt waits for a connection for longer than that window while a second one is sent elsewhere.

Cause: the send deadline of an attempt counted from the earliest possible execution, which the first attempt has not yet.

Change: it counts from the attempt's own start if that is the earliest.

--- a/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
+++ b/router/src/main/java/basaltlever/balancer/AttemptPolicy.java
@@ -166,7 +166,10 @@
             : Moment.NEVER;
     Moment repeatableUntil =
         isDeduplicatedInGroup(workload)
-            ? statement.earliestPossibleExecution().plus(workload.deduplicationWindow())
+            ? statement
+                .earliestPossibleExecution()
+                .earlier(context.now())
+                .plus(workload.deduplicationWindow())
             : Moment.NEVER;
     return freshUntil.earlier(repeatableUntil);
   }
