A request of the endpoint list that is under way follows new settings

What operators would see: with MustAskIn shortened by a prepared version or a reload, a router whose request is unanswered, or has failed, asked again only as late as the longer value let it, up to 5 s instead of 0.5 s.

Cause: the time of the next request and the backoff were derived once and not again when settings change.

--- a/router/src/main/java/basaltlever/balancer/ListWatch.java
+++ b/router/src/main/java/basaltlever/balancer/ListWatch.java
@@ -29,8 +29,19 @@
   void requestList() {
     context.sink().watchEndpointList();
     requestedAt = context.now();
-    nextRequestAt =
-        context.now().plus(context.settings().drainPolicy().listRenewalInterval().times(0.5));
+    nextRequestAt = context.now().plus(answerTimeout());
+  }
+
+  /** The time after which a request counts as unanswered and is repeated. */
+  private Span answerTimeout() {
+    return context.settings().drainPolicy().listRenewalInterval().times(0.5);
+  }
+
+  /** Repeats an unanswered request, or one after a failure, as early as new settings demand. */
+  void applySettings() {
+    if (!nextRequestAt.equals(Moment.NEVER)) {
+      nextRequestAt = nextRequestAt.earlier(context.now().plus(answerTimeout()));
+    }
   }
 
   /** Records that the request was answered. */
@@ -50,12 +61,17 @@
       return;
     }
     Moment now = context.now();
-    Span delay = backoff.times(0.5 + context.random().nextDouble());
+    Span delay = backoff.shorter(maxBackoff()).times(0.5 + context.random().nextDouble());
     nextRequestAt = now.earlier(requestedAt).plus(delay).later(now);
-    backoff =
-        backoff
-            .times(2)
-            .shorter(Timing.ONE_SECOND)
-            .shorter(context.settings().drainPolicy().listRenewalInterval().times(0.25));
+    backoff = backoff.times(2).shorter(maxBackoff());
+  }
+
+  private Span maxBackoff() {
+    return context
+        .settings()
+        .drainPolicy()
+        .listRenewalInterval()
+        .times(0.25)
+        .shorter(Timing.ONE_SECOND);
   }
 }
--- a/router/src/main/java/basaltlever/balancer/LoadBalancer.java
+++ b/router/src/main/java/basaltlever/balancer/LoadBalancer.java
@@ -138,6 +138,7 @@
     context.applySettings(at, settings);
     endpoints.serviceTimes.applySettings(settings.workloads());
     endpoints.polls.applySettings();
+    listWatch.applySettings();
     if (!settings.attemptLimits().hedgingEnabled()) {
       statements.openStatements.cancelHedgedRequests();
     }
