What was decided before a reload is not sent after it, but decided again

What callers would see, without a fleet: after a reload an attempt that still waited for its connection was sent by the old settings: to a removed server although removals bind now, or to a replica that no longer checks the read. In a fleet the lease's fencing token prevents this; a reload had none. docs/migration.md: all that is sent from the switch on goes by the new rules.

Change: Router counts reloads and gives that number to the attempts as their fencing token.

Evidence: ReloadedSettingsTest was red before (a removed server received the statement), green now.

--- a/router/src/main/java/basaltlever/net/Router.java
+++ b/router/src/main/java/basaltlever/net/Router.java
@@ -135,6 +135,9 @@
   /** The pool settings that the router complies with, as for a prepared version. */
   private PoolSettings poolSettings;
 
+  /** Counts reloads: what was decided before one is not sent after it, but decided again. */
+  private int settingsGeneration;
+
   private volatile OperatorFile operator;
 
   /** Set by the thread that starts and reloads, closed by the loop. */
@@ -325,15 +328,17 @@
     slots = newSlots;
     clientSessions.setWorkloadSlots(newSlots);
     iteration.enqueue(
-        now ->
-            core.applySettings(
-                now,
-                balancer ->
-                    balancer.applySettings(
-                        now,
-                        newSlots.arrange(
-                            newFile.startValues().settings(),
-                            newFile.startValues().workloadNames()))));
+        now -> {
+          settingsGeneration++;
+          core.applySettings(
+              now,
+              balancer ->
+                  balancer.applySettings(
+                      now,
+                      newSlots.arrange(
+                          newFile.startValues().settings(),
+                          newFile.startValues().workloadNames())));
+        });
     Event.SETTINGS_TAKEN.log(LOG, Level.INFO, "", executor.openStatements());
   }
 
@@ -620,6 +625,7 @@
             poolSettings.connectTimeout(),
             budget,
             trace);
+    executor.setFencingTokenSource(now -> settingsGeneration);
     badClientLog =
         new RateLimitedLog(
             LoggerFactory.getLogger(ClientSessions.class), Event.CLIENT_BAD, clock::now);
