--- a/router/src/main/java/basaltlever/balancer/ListWatch.java
+++ b/router/src/main/java/basaltlever/balancer/ListWatch.java
@@ -39,7 +39,7 @@
 
   /** Repeats an unanswered request, or one after a failure, as early as new settings demand. */
   void applySettings() {
-    if (!nextRequestAt.equals(Moment.NEVER)) {
+    if (nextRequestAt.isBefore(Moment.NEVER)) {
       nextRequestAt = nextRequestAt.earlier(context.now().plus(answerTimeout()));
     }
   }
--- a/router/src/main/java/basaltlever/gateway/Workload.java
+++ b/router/src/main/java/basaltlever/gateway/Workload.java
@@ -93,7 +93,7 @@
   /** Returns whether both require the same freshness of the data. */
   public boolean requiresSameFreshnessAs(Workload other) {
     return consistency == other.consistency
-        && (!consistency.isBounded() || maxStaleness.equals(other.maxStaleness));
+        && (!consistency.isBounded() || maxStaleness.micros() == other.maxStaleness.micros());
   }
 
   /** Returns whether only the primary can execute its statements. */
