Laboratory: read-versions judges the age of data while versions are prepared

A scenario in virtual time: a fleet's versions change what reads require, are brought into force, withdrawn, follow each other at once, or lose their leader; routers hear of each step at different times or have no lease; replicas lag, and do not check reads unless checks=true. Each read is judged by the version in force when it was sent, from the servers' own log positions.

Virtual routers now tell when they sent, and send nothing after the time that the core allows; on sockets the arrival counts as before.

--- a/lab/src/main/java/basaltlever/lab/BuiltInScenarios.java
+++ b/lab/src/main/java/basaltlever/lab/BuiltInScenarios.java
@@ -14,6 +14,7 @@
           "planned-switches",
           "quiet",
           "settings-switch",
+          "read-versions",
           "third-lost",
           "agreement",
           "lists",
--- a/lab/src/main/java/basaltlever/lab/load/LoadGenerator.java
+++ b/lab/src/main/java/basaltlever/lab/load/LoadGenerator.java
@@ -11,6 +11,7 @@
 import basaltlever.time.Span;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
 
 /**
  * Open-loop load generator: statements arrive on schedule, independent of the responses, and are
@@ -42,6 +43,13 @@
   private final int routerCount;
   private final SplittableRandom random;
   private final long[] lastCommits;
+
+  /** Returns a workload as the version of the settings that is in force defines it. */
+  private UnaryOperator<Workload> workloadInForce = workload -> workload;
+
+  /** Whether all reads carry their session's last commit, since any may become a session read. */
+  private boolean allReadsCarryCommits;
+
   private Moment endTime;
   private long statementCount;
   private int openStatements;
@@ -63,6 +71,12 @@
     lastCommits = new long[SESSIONS_PER_GROUP * (cluster.groups().size() + 1)];
   }
 
+  /** Makes the requirements of statements follow the version in force when they are sent. */
+  public void followVersions(UnaryOperator<Workload> inForce) {
+    workloadInForce = inForce;
+    allReadsCarryCommits = true;
+  }
+
   /** Schedules the arrivals of all workloads for the duration. */
   public void runFor(Span duration) {
     endTime = cluster.now().plus(duration);
@@ -108,7 +122,9 @@
     }
     double waitShare =
         workloadRandom.nextDouble() < EARLY_DISCONNECT_SHARE ? workloadRandom.nextDouble() : 1;
-    long minCommit = workload.consistency().equals("session") ? lastCommits[session] : 0;
+    boolean carriesCommit =
+        workload.consistency().equals("session") || (allReadsCarryCommits && !workload.isWrite());
+    long minCommit = carriesCommit ? lastCommits[session] : 0;
     send(
         "k" + statementCount,
         workload,
@@ -137,7 +153,7 @@
         new Statement(
             "t" + statementCount++,
             key,
-            workload,
+            workloadInForce.apply(workload),
             group,
             routerIndex,
             session,
--- a/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
+++ b/lab/src/main/java/basaltlever/lab/scenario/Scenario.java
@@ -50,6 +50,7 @@
     RUN_KEYS.put("lose_majority_s", new double[] {0, 0, 86_400});
     RUN_KEYS.put("voters", new double[] {0, 0, 7});
     RUN_KEYS.put("version_ms", new double[] {1_500, 50, 600_000});
+    RUN_KEYS.put("read_versions", new double[] {0, 0, 1});
     RUN_KEYS.put("lease_ms", new double[] {400, 100, 60_000});
     RUN_KEYS.put("stated_ms", new double[] {1_000, 200, 600_000});
     RUN_KEYS.put("agrees", new double[] {1, 0, 1});
@@ -61,6 +62,9 @@
     RUN_KEYS.put("all_share", new double[] {1, 0, 1});
   }
 
+  private static final List<String> READ_CONSISTENCIES =
+      List.of("fresh", "session", "bounded", "any");
+
   private static final List<String> WORKLOAD_KEYS =
       List.of(
           "needs",
@@ -82,6 +86,10 @@
   public final boolean virtualTime;
   public final boolean usesChangeTable;
   public final boolean abruptHandover;
+
+  /** The requirements of reads from which versions are drawn. */
+  public final List<String> versionConsistencies;
+
   private final Map<String, Double> runValues = new LinkedHashMap<>();
   private final List<String> errors = new ArrayList<>();
 
@@ -101,7 +109,9 @@
                 "all_at_once",
                 "",
                 "abrupt",
-                "false"));
+                "false",
+                "version_reads",
+                "fresh,session,bounded,any"));
     for (Object name : ini.getSections()) {
       String section = String.valueOf(name);
       var keys = ini.getSection(section);
@@ -144,11 +154,15 @@
     virtualTime = textValues.get("mode").equals("virtual");
     replicasRefuseStaleReads = textValues.get("checks").equals("true");
     abruptHandover = textValues.get("abrupt").equals("true");
+    versionConsistencies = List.of(textValues.get("version_reads").split(","));
     usesChangeTable = textValues.get("change_table").equals("true");
     simultaneousFault =
         textValues.get("all_at_once").isEmpty()
             ? null
             : FaultInjector.Kind.findByName(textValues.get("all_at_once"));
+    if (!READ_CONSISTENCIES.containsAll(versionConsistencies)) {
+      errors.add("[run] version_reads takes fresh, session, bounded and any");
+    }
     if (workloads.isEmpty()) {
       errors.add("there is no [kind NAME]");
     }
@@ -174,7 +188,7 @@
     }
     String needs = values.getOrDefault("needs", "any");
     String repeat = values.getOrDefault("repeat", "idempotent");
-    if (!List.of("write", "fresh", "session", "bounded", "any").contains(needs)) {
+    if (!needs.equals("write") && !READ_CONSISTENCIES.contains(needs)) {
       errors.add("[" + section + "] needs takes write, fresh, session, bounded or any");
     }
     if (!List.of("idempotent", "at_most_once").contains(repeat)) {
@@ -326,8 +340,17 @@
    *     binding, and load reports with the backlog in place of the utilization
    */
   public String routerSettings(boolean alternative) {
+    return routerSettings(alternative, workloads);
+  }
+
+  /** The settings of a router's start file, with other requirements for the workloads. */
+  public String routerSettings(List<Workload> versionWorkloads) {
+    return routerSettings(false, versionWorkloads);
+  }
+
+  private String routerSettings(boolean alternative, List<Workload> settingsWorkloads) {
     String classes =
-        workloads.stream()
+        settingsWorkloads.stream()
             .map(
                 workload ->
                     "{\"Name\":\""
@@ -345,11 +368,11 @@
                         + "}")
             .collect(Collectors.joining(","));
     String needs =
-        workloads.stream()
+        settingsWorkloads.stream()
             .map(workload -> "\"" + workload.consistency() + "\"")
             .collect(Collectors.joining(","));
     String bounds =
-        workloads.stream()
+        settingsWorkloads.stream()
             .map(
                 workload ->
                     ""
--- a/lab/src/main/java/basaltlever/lab/virtual/Bug.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/Bug.java
@@ -22,5 +22,9 @@
   /** Statements accepted before a change of settings get no response. */
   SWITCH_FORGETS,
   /** Attempts in flight at a change of settings are reported as not executed. */
-  SWITCH_REPEATS
+  SWITCH_REPEATS,
+  /** While a version is prepared, a read that is bounded by one version only is not bounded. */
+  PREPARED_DROPS_BOUND,
+  /** While a version is prepared, a session read of one version only sees no writes. */
+  PREPARED_DROPS_SESSION
 }
--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRouter.java
@@ -7,6 +7,7 @@
 import basaltlever.gateway.EndpointLifecycle;
 import basaltlever.gateway.RejectReason;
 import basaltlever.gateway.Role;
+import basaltlever.gateway.Settings;
 import basaltlever.gateway.StatementRequest;
 import basaltlever.lab.load.StatementTransport;
 import basaltlever.lab.world.Server;
@@ -119,6 +120,14 @@
     processInput(() -> core.applySettings(cluster.now(), values.settingsUpdate(cluster.now())));
   }
 
+  /** Applies the settings that a fleet's router complies with. */
+  void applyVersions(Settings effective) {
+    processInput(
+        () ->
+            core.applySettings(
+                cluster.now(), balancer -> balancer.applySettings(cluster.now(), effective)));
+  }
+
   private Span networkDelay() {
     return Span.ofMillis(0.15 + 0.3 * random.nextDouble());
   }
@@ -235,7 +244,8 @@
     Span limit = timeout.micros() == 0 ? remaining : timeout.shorter(remaining);
     pendingEffects.add(
         () -> {
-          if (pending.answered || limit.micros() <= 0) {
+          boolean isTooLate = cluster.now().plus(CONNECT_TIME).isAfter(sendBy);
+          if (pending.answered || limit.micros() <= 0 || isTooLate) {
             endAttempt(
                 ticket,
                 pending,
@@ -263,16 +273,22 @@
                         Moment.LONG_AGO,
                         null);
                   });
+          Moment sentAt = cluster.now().plus(CONNECT_TIME);
           cluster
               .scheduler()
               .runAfter(
                   networkDelay().plus(CONNECT_TIME),
-                  () -> executeOnServer(ticket, pending, attempt, attemptNumber, server));
+                  () -> executeOnServer(ticket, pending, attempt, attemptNumber, server, sentAt));
         });
   }
 
   private void executeOnServer(
-      long ticket, PendingStatement pending, Attempt attempt, int attemptNumber, Server server) {
+      long ticket,
+      PendingStatement pending,
+      Attempt attempt,
+      int attemptNumber,
+      Server server,
+      Moment sentAt) {
     if (attempt.ended || cluster.isCut(number, server)) {
       return;
     }
@@ -298,6 +314,7 @@
     attempt.cancelOnServer =
         server.execute(
             pending.statement,
+            sentAt,
             new Server.Reply() {
               @Override
               public void sendAnswer(String code, String value, boolean primary, long position) {
--- a/lab/src/main/java/basaltlever/lab/virtual/VirtualRun.java
+++ b/lab/src/main/java/basaltlever/lab/virtual/VirtualRun.java
@@ -32,6 +32,7 @@
   private final FaultInjector faults;
   private final List<VirtualRouter> routers = new ArrayList<>();
   private final List<StartValues> alternatingSettings;
+  private final Bug bug;
   private int switches;
 
   public VirtualRun(Scenario scenario, long seed) throws InvalidSettingsException {
@@ -40,6 +41,7 @@
 
   public VirtualRun(Scenario scenario, long seed, Bug bug) throws InvalidSettingsException {
     this.scenario = scenario;
+    this.bug = bug;
     int count = scenario.count("routers");
     cluster =
         new SimulatedCluster(
@@ -113,6 +115,14 @@
             faults,
             scenario.scaledWorkloads(),
             routers.size());
+    VersionRollout rollout =
+        scenario.number("read_versions") > 0
+            ? new VersionRollout(scenario, cluster, routers, bug)
+            : null;
+    if (rollout != null) {
+      load.followVersions(rollout::inForce);
+      rollout.start();
+    }
     load.runFor(duration);
     if (scenario.number("switch_ms") > 0) {
       scheduleSettingsSwitch(scenario.span("switch_ms"));
@@ -131,6 +141,9 @@
     if (scenario.simultaneousFault != null) {
       stats.put("recovered_95_s", cluster.timeSeries().recoverySeconds(scenario.number("seconds")));
     }
+    if (rollout != null) {
+      rollout.addTo(stats);
+    }
     stats.put("polls", routers.stream().mapToLong(VirtualRouter::pollCount).sum());
     return stats;
   }
--- a/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
+++ b/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
@@ -122,10 +122,11 @@
   Execution onArrival(
       Statement statement,
       Server server,
+      Moment sentAt,
       Moment now,
       Moment drainNoticeTime,
       Moment[] allDrainNoticeTimes) {
-    Execution execution = new Execution(statement, statement.executions.size(), server, now);
+    Execution execution = new Execution(statement, statement.executions.size(), server, sentAt);
     statement.executions.add(execution);
     if (execution.number > 0 && repeatArrivals.size() < MAX_RECORDED_REPEATS) {
       repeatArrivals.add(now);
@@ -343,7 +344,19 @@
         if (!execution.completed || (statement.workload.isWrite() && !execution.tookEffect)) {
           recordViolation("lost", statement.id + " completed although it was not executed");
         } else if (execution.stale) {
-          recordViolation("stale", statement.id + " at " + execution.server.id);
+          recordViolation(
+              "stale",
+              statement.id
+                  + ", a "
+                  + statement.workload.consistency()
+                  + " read of router "
+                  + statement.router
+                  + " due at "
+                  + statement.dueAt.micros()
+                  + ", at "
+                  + execution.server.id
+                  + ", sent at "
+                  + execution.sentAt.micros());
         }
         return;
       }
--- a/lab/src/main/java/basaltlever/lab/world/ReplicaGroup.java
+++ b/lab/src/main/java/basaltlever/lab/world/ReplicaGroup.java
@@ -65,7 +65,7 @@
         switch (statement.workload.consistency()) {
           case "session" -> statement.requiredCommitMillis;
           case "bounded" ->
-              execution.arrivedAt.minus(statement.workload.stalenessBound()).micros() / 1_000;
+              execution.sentAt.minus(statement.workload.stalenessBound()).micros() / 1_000;
           case "fresh" -> statement.dueAt.micros() / 1_000;
           default -> 0;
         };
--- a/lab/src/main/java/basaltlever/lab/world/Statement.java
+++ b/lab/src/main/java/basaltlever/lab/world/Statement.java
@@ -32,10 +32,11 @@
     boolean completed;
     boolean stale;
 
-    final Moment arrivedAt;
+    /** When its router sent it; on sockets, when it arrived. */
+    final Moment sentAt;
 
-    Execution(Statement statement, int number, Server server, Moment arrivedAt) {
-      this.arrivedAt = arrivedAt;
+    Execution(Statement statement, int number, Server server, Moment sentAt) {
+      this.sentAt = sentAt;
       this.statement = statement;
       this.number = number;
       this.server = server;
--- a/lab/src/main/java/basaltlever/lab/world/Workload.java
+++ b/lab/src/main/java/basaltlever/lab/world/Workload.java
@@ -28,6 +28,22 @@
     Span timeout,
     double importance,
     double lateImportance) {
+  /** Returns this workload with another requirement for the freshness of reads. */
+  public Workload withFreshness(String newConsistency, Span newStalenessBound) {
+    return new Workload(
+        index,
+        name,
+        newConsistency,
+        repeatPolicy,
+        ratePerSecond,
+        serviceTime,
+        newStalenessBound,
+        slo,
+        timeout,
+        importance,
+        lateImportance);
+  }
+
   /** Returns whether statements of this workload have to run on the primary and change data. */
   public boolean isWrite() {
     return consistency.equals("write");
--- a/lab/src/test/java/basaltlever/lab/ScenarioTest.java
+++ b/lab/src/test/java/basaltlever/lab/ScenarioTest.java
@@ -18,6 +18,8 @@
  * detect.
  */
 class ScenarioTest {
+  private static final int VERSION_SEEDS = 6;
+
   private static void check(boolean condition, String message) {
     if (!condition) {
       throw new AssertionError(message);
@@ -159,6 +161,37 @@
     }
   }
 
+  /**
+   * Guards against the stale reads of review/9: while a version is prepared, reads keep the
+   * requirements of the version in force, by the servers' own log positions.
+   */
+  @Example
+  void readsKeepTheVersionInForceWhileAnotherIsPrepared() throws Exception {
+    for (String checks : List.of("checks=false", "checks=true")) {
+      for (long seed = 1; seed <= VERSION_SEEDS; seed++) {
+        Scenario scenario = scenario("read-versions", checks, "seconds=15");
+        Map<String, Object> figures = new VirtualRun(scenario, seed).runScenario();
+        List<String> violations = scenario.violations(figures);
+        check(violations.isEmpty(), checks + ", seed " + seed + ": " + violations);
+      }
+    }
+  }
+
+  /** Either order of session and bounded reads breaks one of the two requirements. */
+  @Example
+  void droppedRequirementOfAPreparedVersionIsDetectedWithinSomeSeeds() throws Exception {
+    for (Bug bug : List.of(Bug.PREPARED_DROPS_BOUND, Bug.PREPARED_DROPS_SESSION)) {
+      int found = 0;
+      for (long seed = 1; seed <= VERSION_SEEDS; seed++) {
+        Scenario scenario = scenario("read-versions", "seconds=15");
+        Map<String, Object> figures = new VirtualRun(scenario, seed, bug).runScenario();
+        found += number(figures, "stale") > 0 ? 1 : 0;
+      }
+      System.out.println(bug + " is detected in " + found + " of " + VERSION_SEEDS + " seeds");
+      check(found > 0, bug + " is not detected");
+    }
+  }
+
   @Example
   void losingAThirdOfThePrimariesAtOnceOverloadsNoServer() throws Exception {
     Scenario scenario = scenario("third-lost", "routers=200", "seconds=10");
