Soak: fleets that prepare versions under faults, judged by the servers' own positions

After the run, each answered read must satisfy a version that may have been in force between its client's sending and its arrival at the server: from the moment at which a leader first asks its voters for it, by its log, until a router complies with a later one alone.

The same as a scenario: run read-versions-fleet.

--- a/lab/src/main/java/basaltlever/lab/BuiltInScenarios.java
+++ b/lab/src/main/java/basaltlever/lab/BuiltInScenarios.java
@@ -15,6 +15,7 @@
           "quiet",
           "settings-switch",
           "read-versions",
+          "read-versions-fleet",
           "third-lost",
           "agreement",
           "lists",
--- a/lab/src/main/java/basaltlever/lab/endtoend/Soak.java
+++ b/lab/src/main/java/basaltlever/lab/endtoend/Soak.java
@@ -1,5 +1,6 @@
 package basaltlever.lab.endtoend;
 
+import basaltlever.lab.fleet.VersionSoak;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Files;
@@ -45,6 +46,11 @@
       description = "milliseconds: routers log the stages of each statement that takes longer")
   private long traceMillis;
 
+  @Parameter(
+      names = "--versions",
+      description = "runs fleets that prepare versions of the reads' requirements instead")
+  private boolean versions;
+
   @Parameter(names = "--logs", description = "folder for the router logs of failed runs")
   private Path logFolder;
 
@@ -64,6 +70,9 @@
     if (routerJar != null && !Files.exists(routerJar)) {
       return reportBadInput("--router-jar is " + routerJar + ", which does not exist");
     }
+    if (versions) {
+      return runVersions(writer);
+    }
     Path buildFolder = Files.createTempDirectory("shim");
     Path library = FaultShim.build(buildFolder);
     if (library == null) {
@@ -80,6 +89,30 @@
     return passed ? 0 : 1;
   }
 
+  private int runVersions(FiguresSink writer) throws Exception {
+    boolean passed = true;
+    for (long runSeed = seed; runSeed < seed + seeds; runSeed++) {
+      Map<String, Object> figures = VersionSoak.run(runSeed, minutes * 60, routerJar);
+      writer.write(figures);
+      List<?> broken = (List<?>) figures.get("broken");
+      System.err.println(
+          "seed "
+              + runSeed
+              + " | "
+              + figures.get("versions")
+              + " versions, "
+              + figures.get("reads_judged")
+              + " reads judged, "
+              + figures.get("stops")
+              + " stops, "
+              + figures.get("cuts")
+              + " cuts | "
+              + (broken.isEmpty() ? "kept" : broken));
+      passed &= broken.isEmpty();
+    }
+    return passed ? 0 : 1;
+  }
+
   private static int reportBadInput(String message) {
     System.err.println("basaltlever-lab: " + message);
     return EXIT_BAD_INPUT;
--- a/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
+++ b/lab/src/main/java/basaltlever/lab/fleet/AgreementRun.java
@@ -6,8 +6,10 @@
 import basaltlever.lab.sockets.PortAllocator;
 import basaltlever.lab.sockets.RouterProcess;
 import basaltlever.lab.sockets.SocketRun;
+import basaltlever.lab.world.ReadLedger.AnsweredRead;
 import basaltlever.lab.world.SimulatedCluster;
 import basaltlever.lab.world.Statement;
+import basaltlever.lab.world.Workload;
 import basaltlever.time.Moment;
 import basaltlever.time.Span;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -78,6 +80,9 @@
   /** Traffic between routers and voters in both directions, without that of a voter to itself. */
   private final LongAdder proxiedBytes = new LongAdder();
 
+  /** Null if versions differ in the number of executions that they allow. */
+  private final ReadVersions readVersions;
+
   private volatile boolean finished;
   private int inForceCount;
   private int refusedCount;
@@ -98,6 +103,8 @@
     this.operatorFile = operatorFile;
     random = new SplittableRandom(seed ^ 0x5DEECE66DL);
     listRandom = random.split();
+    readVersions =
+        scenario.number("read_versions") > 0 ? new ReadVersions(scenario, random.split()) : null;
     voterCount = scenario.count("voters");
     lease = scenario.span("lease_ms");
     fencingTime = scenario.span("stated_ms");
@@ -179,6 +186,9 @@
               run.cluster()
                   .checker
                   .setFleetAgreementBound(fencingTime.plus(scenario.span("grace_ms")));
+              if (readVersions != null) {
+                run.cluster().checker.readLedger().enable();
+              }
               sendFaultyLists();
               delayLists();
             })
@@ -210,6 +220,17 @@
     operator.join(20_000);
     faultThread.join(5_000);
     majorityLossThread.join(20_000);
+    if (readVersions != null) {
+      for (RouterProcess router : run.routers()) {
+        readVersions.readLog(router.readLog());
+      }
+      List<AnsweredRead> reads =
+          run.loop().submit(() -> List.copyOf(run.cluster().checker.readLedger().reads())).get();
+      figures.put("reads_judged", reads.size());
+      figures.put("stale", readVersions.countStale(reads));
+      figures.put("stale_reads", readVersions.findings());
+      run.cluster().readPlacement.addTo(figures);
+    }
     List<Moment> repeats =
         run.loop().submit(() -> List.copyOf(run.cluster().checker.repeatArrivals())).get();
     long longest = 0;
@@ -306,7 +327,10 @@
           strictIntervals.add(new Interval(strictStart, now()));
           strictStart = null;
         }
-        String outcome = propose(formatSettings(strict), "version " + n);
+        String outcome =
+            readVersions == null
+                ? propose(formatSettings(strict), "version " + n)
+                : proposeReadVersion("version " + n);
         slowestVersionMillis =
             Math.max(slowestVersionMillis, (System.nanoTime() - startNanos) / 1_000_000);
         if (outcome.equals("IN_FORCE")) {
@@ -325,6 +349,25 @@
     }
   }
 
+  private String proposeReadVersion(String why) throws InterruptedException {
+    List<Workload> workloads = readVersions.draw();
+    String outcome = propose(scenario.routerSettings(workloads), why);
+    Integer leader = findLeader();
+    Map<String, Object> status = leader == null ? Map.of() : sendRequest(leader, STATUS_REQUEST);
+    // An undecided version is still on its way, and may come into force later.
+    List<Object> entries = new ArrayList<>();
+    if (status.get("history") instanceof List<?> history) {
+      entries.addAll(history);
+    }
+    entries.add(status.get("prepared"));
+    for (Object entry : entries) {
+      if (entry instanceof Map<?, ?> version && MessageCodec.getText(version, "why").equals(why)) {
+        readVersions.record(MessageCodec.getNumber(version, "number"), workloads);
+      }
+    }
+    return outcome;
+  }
+
   private void awaitLeader() throws InterruptedException {
     while (!finished && findLeader() == null) {
       Thread.sleep(100);
--- a/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/SocketRun.java
@@ -28,6 +28,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import java.util.function.UnaryOperator;
 
 /**
  * Runs a scenario on real sockets. Simulated servers, discovery and clients share one event loop of
@@ -260,6 +261,9 @@
                   LoadGenerator newLoad =
                       new LoadGenerator(
                           cluster, clients, faults, scenario.scaledWorkloads(), routers.size());
+                  if (scenario.number("read_versions") > 0) {
+                    newLoad.followVersions(UnaryOperator.identity());
+                  }
                   newLoad.runFor(duration);
                   cluster
                       .scheduler()
--- a/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
+++ b/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
@@ -31,6 +31,7 @@
 
   private static final int MAX_RECORDED_REPEATS = 1_000_000;
 
+  private final ReadLedger readLedger = new ReadLedger();
   private final Span drainGrace;
 
   /**
@@ -343,7 +344,7 @@
       if (execution.resultValue().equals(value)) {
         if (!execution.completed || (statement.workload.isWrite() && !execution.tookEffect)) {
           recordViolation("lost", statement.id + " completed although it was not executed");
-        } else if (execution.stale) {
+        } else if (execution.stale && !readLedger.isEnabled()) {
           recordViolation(
               "stale",
               statement.id
@@ -358,6 +359,9 @@
                   + ", sent at "
                   + execution.sentAt.micros());
         }
+        if (!wasStalledSince(statement.dueAt)) {
+          readLedger.record(statement, execution);
+        }
         return;
       }
     }
@@ -365,6 +369,16 @@
         "lost", statement.id + " completed with a value that no server returned: " + value);
   }
 
+  /** Whether this checker stalled since then, so that times of arrival are unreliable. */
+  private boolean wasStalledSince(Moment since) {
+    return stalls.stream().anyMatch(stall -> !stall[1].isBefore(since));
+  }
+
+  /** Returns the ledger of answered reads; while it is enabled, it replaces the check of reads. */
+  public ReadLedger readLedger() {
+    return readLedger;
+  }
+
   /** Removes a statement; called so late that no further execution of it is possible. */
   public void removeStatement(Statement statement) {
     openStatements.remove(statement.id);
--- a/lab/src/main/java/basaltlever/lab/world/Server.java
+++ b/lab/src/main/java/basaltlever/lab/world/Server.java
@@ -363,6 +363,8 @@
       }
     } else {
       execution.completed = true;
+      execution.position = position;
+      execution.atPrimary = group.primary == this;
       execution.stale = cluster.group(execution.statement.group).isStale(execution, position);
       sendAnswer(request, positionMillis(now));
     }
--- a/lab/src/main/java/basaltlever/lab/world/Statement.java
+++ b/lab/src/main/java/basaltlever/lab/world/Statement.java
@@ -32,6 +32,11 @@
     boolean completed;
     boolean stale;
 
+    /** The position of the data that a read was answered from, and whether the primary did. */
+    Moment position = Moment.LONG_AGO;
+
+    boolean atPrimary;
+
     /** When its router sent it; on sockets, when it arrived. */
     final Moment sentAt;
 
--- a/lab/src/test/java/basaltlever/lab/endtoend/SoakTest.java
+++ b/lab/src/test/java/basaltlever/lab/endtoend/SoakTest.java
@@ -1,5 +1,6 @@
 package basaltlever.lab.endtoend;
 
+import basaltlever.lab.fleet.VersionSoak;
 import com.beust.jcommander.JCommander;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -15,6 +16,7 @@
 /** A short soak run with a fixed seed, its fault shim, and the validation of its options. */
 class SoakTest {
   private static final long SEED = 39;
+  private static final long VERSION_SEED = 760;
   private static final double SECONDS = 40;
   private static final long HOUR_MILLIS = 3_600_000;
 
@@ -55,6 +57,18 @@
     }
   }
 
+  /**
+   * Guards against reads beyond what the version in force allows while another is prepared, by
+   * router processes that are stopped, cut off and restarted.
+   */
+  @Example
+  void preparedVersionsCauseNoStaleReads() throws Exception {
+    Map<String, Object> figures = VersionSoak.run(VERSION_SEED, SECONDS, null);
+    check(
+        ((List<?>) figures.get("broken")).isEmpty(),
+        figures.get("broken") + " " + figures.get("stale_reads") + " " + figures);
+  }
+
   /** Prints both clocks and whether a file in the given folder can be written. */
   public static final class Probe {
     private Probe() {}
