--- a/lab/src/main/java/basaltlever/lab/sockets/ServerSocketAdapter.java
+++ b/lab/src/main/java/basaltlever/lab/sockets/ServerSocketAdapter.java
@@ -177,7 +177,7 @@
           writeError(context, "53300", "the client of the statement has disconnected");
           return;
         }
-        cancelPending = server.execute(statement, new ConnectionReply(context));
+        cancelPending = server.execute(statement, cluster.now(), new ConnectionReply(context));
       } else if (query.isBlank() || !server.isHung()) {
         context.writeAndFlush(internalQueryResponse(context, query));
       }
--- a/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
+++ b/lab/src/main/java/basaltlever/lab/world/HistoryChecker.java
@@ -32,6 +32,7 @@
   private static final int MAX_RECORDED_REPEATS = 1_000_000;
 
   private final ReadLedger readLedger = new ReadLedger();
+  private final ReadPlacement readPlacement = new ReadPlacement();
   private final Span drainGrace;
 
   /**
@@ -133,6 +134,9 @@
       repeatArrivals.add(now);
     }
     timeSeries.onExecution(server, now);
+    if (!statement.workload.isWrite()) {
+      readPlacement.record(server.group.primary == server);
+    }
     if (now.since(drainNoticeTime).isLongerThan(drainGrace)) {
       recordViolation(
           "late_to_draining",
@@ -379,6 +383,11 @@
     return readLedger;
   }
 
+  /** Returns the counts of reads by the role of the servers that receive them. */
+  public ReadPlacement readPlacement() {
+    return readPlacement;
+  }
+
   /** Removes a statement; called so late that no further execution of it is possible. */
   public void removeStatement(Statement statement) {
     openStatements.remove(statement.id);
--- a/router/src/main/java/basaltlever/config/StartValues.java
+++ b/router/src/main/java/basaltlever/config/StartValues.java
@@ -180,7 +180,8 @@
         span(path + "Slo"),
         span(path + "HardLimit"),
         keys.number(path + "Worth", 0, MAX_COUNT),
-        keys.number(path + "LateWorth", 0, 1, 0));
+        keys.number(path + "LateWorth", 0, 1, 0),
+        true);
   }
 
   private Workload.ReadConsistency consistency(int number, List<String> consistencies) {
--- a/router/src/main/java/basaltlever/config/WorkloadSlots.java
+++ b/router/src/main/java/basaltlever/config/WorkloadSlots.java
@@ -34,7 +34,8 @@
           Span.NONE,
           Span.NONE,
           0,
-          0);
+          0,
+          true);
 
   private final List<String> names;
   private final Map<String, Integer> slots = new HashMap<>();
@@ -73,13 +74,6 @@
       int index = order.indexOf(names.get(slot));
       placed[slot] = index >= 0 ? settings.workloads()[index] : REMOVED;
     }
-    return new Settings(
-        settings.identity(),
-        placed,
-        settings.replication(),
-        settings.drainPolicy(),
-        settings.slowStart(),
-        settings.attemptLimits(),
-        settings.poolSettings());
+    return settings.withWorkloads(placed);
   }
 }
--- a/router/src/main/java/basaltlever/gateway/Settings.java
+++ b/router/src/main/java/basaltlever/gateway/Settings.java
@@ -11,4 +11,16 @@
     DrainPolicy drainPolicy,
     SlowStartPolicy slowStart,
     AttemptLimits attemptLimits,
-    PoolSettings poolSettings) {}
+    PoolSettings poolSettings) {
+  /** Returns these settings with other workloads. */
+  public Settings withWorkloads(Workload[] otherWorkloads) {
+    return new Settings(
+        identity, otherWorkloads, replication, drainPolicy, slowStart, attemptLimits, poolSettings);
+  }
+
+  /** Returns these settings with another way of checking the position of replicas. */
+  public Settings withReplication(Replication otherReplication) {
+    return new Settings(
+        identity, workloads, otherReplication, drainPolicy, slowStart, attemptLimits, poolSettings);
+  }
+}
--- a/router/src/main/java/basaltlever/gateway/Workload.java
+++ b/router/src/main/java/basaltlever/gateway/Workload.java
@@ -66,19 +66,10 @@
     GROUP
   }
 
-  /** Creates a workload whose freshness replicas check as it is required here. */
-  public Workload(
-      ReadConsistency consistency,
-      Span maxStaleness,
-      Idempotency idempotency,
-      DeduplicationScope deduplicationScope,
-      Span deduplicationWindow,
-      Span latencyObjective,
-      Span timeout,
-      double priorityWeight,
-      double lateResponseValue) {
-    this(
-        consistency,
+  /** Returns this workload with another required freshness of the data. */
+  public Workload withConsistency(ReadConsistency otherConsistency) {
+    return new Workload(
+        otherConsistency,
         maxStaleness,
         idempotency,
         deduplicationScope,
@@ -87,7 +78,7 @@
         timeout,
         priorityWeight,
         lateResponseValue,
-        true);
+        checkedByReplicas);
   }
 
   /** Returns whether both require the same freshness of the data. */
--- a/router/src/main/java/basaltlever/settings/StricterSettings.java
+++ b/router/src/main/java/basaltlever/settings/StricterSettings.java
@@ -108,7 +108,8 @@
         base.latencyObjective(),
         base.timeout(),
         base.priorityWeight(),
-        base.lateResponseValue());
+        base.lateResponseValue(),
+        true);
   }
 
   private static RouterIdentity stricterIdentity(RouterIdentity older, RouterIdentity newer) {
@@ -150,13 +151,19 @@
         older.consistency().includesSessionWrites() || newer.consistency().includesSessionWrites();
     // Versions that expect a session's last commit position in different places leave only the
     // primary sure to have that commit.
-    if (older.consistency() == ReadConsistency.FRESH
-        || newer.consistency() == ReadConsistency.FRESH
-        || (includesSessionWrites && !sameTokens)) {
+    boolean isFresh =
+        older.consistency() == ReadConsistency.FRESH
+            || newer.consistency() == ReadConsistency.FRESH;
+    if (isFresh || (includesSessionWrites && !sameTokens)) {
       return ReadConsistency.FRESH;
     }
-    // Neither of session and bounded reads is the stricter: each requirement is kept by itself.
     boolean isBounded = older.consistency().isBounded() || newer.consistency().isBounded();
+    return withRequirements(includesSessionWrites, isBounded);
+  }
+
+  /** Neither of session and bounded reads is the stricter: each requirement is kept by itself. */
+  private static ReadConsistency withRequirements(
+      boolean includesSessionWrites, boolean isBounded) {
     if (includesSessionWrites) {
       return isBounded ? ReadConsistency.SESSION_AND_BOUNDED : ReadConsistency.SESSION;
     }
